--- a/contract/agent.go
+++ b/contract/agent.go
@@ -172,6 +172,9 @@
 	if entry == nil {
 		entry = &endpointEntry{}
 	}
+	if left(entry, announced) {
+		announced.State = entry.announced.GetState()
+	}
 	holder := entry.announced.GetAgent()
 	if entry.live && holder != next.agent.name {
 		next.refused = append(next.refused, fault.Newf(fault.Conflict,
@@ -186,6 +189,14 @@
 	next.store = append(next.store, entry.withAnnounced(announced, s.revision+1))
 }
 
+// left reports whether an endpoint that announces itself has said before that it
+// leaves. It never comes back under its id, so what says otherwise is late.
+func left(entry *endpointEntry, announced *fleetv1.Endpoint) bool {
+	before := entry.announced
+	return announced.GetAddr() != "" && before.GetIncarnation() == announced.GetIncarnation() &&
+		before.GetState() >= fleetv1.EndpointState_ENDPOINT_STATE_LEAVING
+}
+
 // releaseFromOther takes an endpoint away from the agent that held it before
 // its lease expired.
 func (s *State) releaseFromOther(id, newHolder string) {
--- a/contract/change.go
+++ b/contract/change.go
@@ -19,6 +19,7 @@
 	endpointKind  objectKind = "endpoint"
 	policyKind    objectKind = "policy"
 	mapKind       objectKind = "map"
+	siteKind      objectKind = "site"
 )
 
 // objectRef names one object of the configuration.
@@ -120,6 +121,8 @@
 		delta.Policies = append(delta.Policies, s.policies[ref.name].message)
 	case mapKind:
 		delta.Maps = append(delta.Maps, s.maps[ref.name].record)
+	case siteKind:
+		delta.Site = s.site.forDaemons()
 	}
 }
 
@@ -162,5 +165,6 @@
 	for _, group := range sortedKeys(s.maps) {
 		configuration.Maps = append(configuration.Maps, s.maps[group].record)
 	}
+	configuration.Site = s.site.forDaemons()
 	return configuration
 }
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -94,6 +94,7 @@
 		LogTimeNs: s.logTime, Revision: s.revision, Fence: s.fence,
 		Intents:    s.intents.copies(),
 		Tombstones: s.tombstones.order, TombstoneFloor: s.tombstones.floor,
+		Site: s.site.message(),
 	}
 	for _, name := range sortedKeys(s.workspaces) {
 		entry := s.workspaces[name]
@@ -165,6 +166,7 @@
 	for _, record := range message.GetMaps() {
 		s.maps[record.GetRecord().GetGroup()] = &mapEntry{record: record.GetRecord(), fence: record.GetFence()}
 	}
+	s.site = newSiteEntry(message.GetSite())
 	s.fillEndpoints(message)
 	s.fillIntents(message)
 	s.fillClaims(message)
--- a/contract/state.go
+++ b/contract/state.go
@@ -27,6 +27,8 @@
 	endpoints  map[string]*endpointEntry
 	agents     map[string]*agentEntry
 	maps       map[string]*mapEntry
+	// site is nil where none was published.
+	site *siteEntry
 
 	// keyOwners names the workspace of each key digest.
 	keyOwners map[string]string
@@ -57,6 +59,7 @@
 	s.endpoints = make(map[string]*endpointEntry)
 	s.agents = make(map[string]*agentEntry)
 	s.maps = make(map[string]*mapEntry)
+	s.site = nil
 	s.keyOwners = make(map[string]string)
 	s.intents = newIntentTable()
 	s.claims = newClaimTable(s.claims.claimBounds)
@@ -120,6 +123,8 @@
 		return s.applyMapDecide(kind.MapDecide)
 	case *contractv1.Command_IssueFence:
 		return s.applyIssueFence()
+	case *contractv1.Command_Publish:
+		return s.applyPublish(kind.Publish)
 	}
 	return &Result{Err: fault.New(fault.Internal, "this version does not know a command of the log",
 		"upgrade all control replicas before using new features")}
--- a/control/announce.go
+++ b/control/announce.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/contract"
 )
 
@@ -12,12 +13,15 @@
 // the log; a renewal touches the leader's memory alone. Announcements that
 // change something at the same moment share one sync of the log.
 func (l *leadership) announce(ctx context.Context, request *controlv1.AnnounceRequest) (*controlv1.AnnounceResponse, error) {
+	request = l.withdrawal(request)
 	ref := contract.AgentRef{Name: request.GetAgent(), Incarnation: request.GetIncarnation()}
+	if l.late(ref, request.GetSeq()) {
+		return l.announced(true), nil
+	}
 	known, err := l.register(ctx, ref, request)
 	if err != nil {
 		return nil, err
 	}
-	lease, pace := l.leaseTimes()
 	if known {
 		l.renew(ref)
 		l.reported(request.GetInFlight())
@@ -25,13 +29,52 @@
 			return nil, err
 		}
 	}
+	return l.announced(known), nil
+}
+
+// announced is the answer to an announcement.
+func (l *leadership) announced(known bool) *controlv1.AnnounceResponse {
+	lease, pace := l.leaseTimes()
 	return &controlv1.AnnounceResponse{
 		LeaseMs:  lease.Milliseconds(),
 		RenewMs:  pace.Milliseconds(),
 		SendFull: !known,
 		Revision: l.state.Revision(),
 		Fence:    l.state.Fence(),
-	}, nil
+	}
+}
+
+// withdrawal completes the last announcement of an endpoint that announces
+// itself, which says no more than that it leaves.
+func (l *leadership) withdrawal(request *controlv1.AnnounceRequest) *controlv1.AnnounceRequest {
+	if request.GetFull() || !request.GetStopping() || request.GetAddr() != "" {
+		return request
+	}
+	held := l.state.Endpoint(request.GetAgent())
+	if held == nil || held.GetAgent() != request.GetAgent() {
+		return request
+	}
+	return &controlv1.AnnounceRequest{
+		Agent: request.GetAgent(), Incarnation: request.GetIncarnation(), Seq: request.GetSeq(),
+		Host: held.GetHost(), Zone: held.GetZone(), Region: held.GetRegion(),
+		Endpoints: []*fleetv1.Endpoint{held}, Full: true, Stopping: true,
+	}
+}
+
+// late reports whether a later announcement of the same incarnation has come
+// before this one. A new leader does not know; that an endpoint leaves is then
+// known from the log.
+func (l *leadership) late(ref contract.AgentRef, seq uint64) bool {
+	if seq == 0 {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if seq < l.sequences[ref] {
+		return true
+	}
+	l.sequences[ref] = seq
+	return false
 }
 
 // register brings the state up to date with a full announcement. It reports
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"google.golang.org/grpc"
 
+	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/link"
@@ -50,6 +51,10 @@
 // Ready returns the readiness, for the admin listener.
 func (d *Daemon) Ready() *telemetry.Ready { return d.ready }
 
+// Operations returns the operations of the Control service, for callers in this
+// process. They pass on to the leader what only it can decide.
+func (d *Daemon) Operations() controlv1.ControlServer { return d.service }
+
 // State returns the replicated state as far as this replica has applied it.
 func (d *Daemon) State() *contract.State { return d.source.state }
 
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -31,6 +31,8 @@
 	leases *leases
 	// inFlight holds what agents reported of their leaving endpoints.
 	inFlight map[string]int32
+	// sequences holds the highest sequence number that each announcer has sent.
+	sequences map[contract.AgentRef]uint64
 	// notes says what orders to an endpoint wait for.
 	notes map[string]string
 }
@@ -46,16 +48,17 @@
 	}
 	now := time.Now()
 	return &leadership{
-		log:      log,
-		state:    state,
-		logger:   logger,
-		term:     term,
-		started:  now,
-		clock:    contract.NewLogClock(state.LogTime(), now),
-		fence:    result.Fence,
-		leases:   newLeases(0, lease, state.Agents()),
-		inFlight: map[string]int32{},
-		notes:    map[string]string{},
+		log:       log,
+		state:     state,
+		logger:    logger,
+		term:      term,
+		started:   now,
+		clock:     contract.NewLogClock(state.LogTime(), now),
+		fence:     result.Fence,
+		leases:    newLeases(0, lease, state.Agents()),
+		inFlight:  map[string]int32{},
+		sequences: map[contract.AgentRef]uint64{},
+		notes:     map[string]string{},
 	}, nil
 }
 
--- a/control/providers.go
+++ b/control/providers.go
@@ -21,6 +21,7 @@
 		DataDir:           s.DataDir,
 		Peers:             s.Peers,
 		Join:              s.Join,
+		Addr:              s.Listen,
 		ElectionTimeout:   s.ElectionTimeout,
 		HeartbeatInterval: s.HeartbeatInterval,
 		RepairAfter:       s.RepairAfter,
--- a/control/service.go
+++ b/control/service.go
@@ -77,11 +77,31 @@
 		local: func(ctx context.Context, l *leadership) (*controlv1.AnnounceResponse, error) {
 			return l.announce(ctx, request)
 		},
-		direct: true,
+		remote: controlv1.ControlClient.Announce,
+		// An endpoint that announces itself does not look for the leader.
+		direct: request.GetAddr() != "",
 	}
 	return d.run(ctx)
 }
 
+// Publish implements controlv1.ControlServer.
+func (s *service) Publish(ctx context.Context, request *controlv1.PublishRequest) (*controlv1.PublishResponse, error) {
+	if err := contract.ValidateSite(request.GetSite()); err != nil {
+		return nil, err
+	}
+	return decide(ctx, s, request, controlv1.ControlClient.Publish, func(ctx context.Context, l *leadership) (*controlv1.PublishResponse, error) {
+		return l.publish(ctx, request.GetSite())
+	})
+}
+
+// GetSite implements controlv1.ControlServer.
+func (s *service) GetSite(ctx context.Context, _ *controlv1.GetSiteRequest) (*controlv1.GetSiteResponse, error) {
+	if _, err := s.log.ReadIndex(ctx); err != nil {
+		return nil, err
+	}
+	return &controlv1.GetSiteResponse{Site: s.state.Site()}, nil
+}
+
 // Claim implements controlv1.ControlServer.
 func (s *service) Claim(ctx context.Context, request *controlv1.ClaimRequest) (*controlv1.ClaimResponse, error) {
 	return decide(ctx, s, request, controlv1.ControlClient.Claim, func(ctx context.Context, l *leadership) (*controlv1.ClaimResponse, error) {
--- a/control/settings.go
+++ b/control/settings.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"encoding/binary"
+	"net/netip"
 	"strconv"
 	"strings"
 	"time"
@@ -24,6 +26,10 @@
 	// replicas reach each other, this one included.
 	Listen string
 	Peers  map[uint64]string
+	// Seeds are addresses of some replicas, in place of Peers.
+	Seeds []string
+	// Bootstrap is the licence to found a cluster of the Seeds.
+	Bootstrap bool
 	// DataDir is the folder of the replicated log.
 	DataDir string
 	// Join keeps a blank disk from bootstrapping a new cluster.
@@ -66,11 +72,13 @@
 func (s *Settings) Register(set *setting.Set) {
 	var id int
 	var peers []string
-	set.Int(&id, "id", 0, "number of this replica, unique in the cluster", setting.Required, setting.Min(1))
+	set.Int(&id, "id", 0, "number of this replica, unique in the cluster; made from -listen with -seeds", setting.Min(0))
 	set.String(&s.Host, "host", "", "name of the host; control-<id> if empty", setting.Name)
 	set.String(&s.Zone, "zone", "", "availability zone of the host", setting.Name)
 	set.String(&s.Listen, "listen", "127.0.0.1:7300", "address of the services", setting.Required, setting.HostPort)
 	set.List(&peers, "peers", nil, "the first voters, this one included, as id=host:port; with -join the replicas to ask")
+	set.List(&s.Seeds, "seeds", nil, "addresses of some replicas, in place of -peers; ids are then made from addresses", setting.HostPort)
+	set.Bool(&s.Bootstrap, "bootstrap", false, "found the cluster of the replicas in -seeds, which all have blank disks; without it a blank disk only joins one")
 	set.String(&s.DataDir, "data-dir", "", "folder of the replicated log, on a disk of its own", setting.Required)
 	set.Bool(&s.Join, "join", false, "join an existing cluster with a blank disk")
 	s.registerTimes(set)
@@ -104,6 +112,12 @@
 	}
 	s.Telemetry.Host = s.Host
 	s.Peers = map[uint64]string{}
+	if len(s.Seeds) > 0 {
+		return s.completeSeeds(id, peers)
+	}
+	if id == 0 {
+		return fault.New(fault.Invalid, "neither -id nor -seeds is set", "give this replica a number, or name seeds")
+	}
 	for _, peer := range peers {
 		if err := s.addPeer(peer); err != nil {
 			return err
@@ -118,6 +132,41 @@
 	return nil
 }
 
+// completeSeeds fills in what follows from the seeds: a replica that is not
+// among them, or has no licence to found a cluster, joins.
+func (s *Settings) completeSeeds(id int, peers []string) error {
+	if id != 0 || len(peers) > 0 || s.Join {
+		return fault.New(fault.Invalid, "-seeds contradicts -id, -peers and -join", "set either -seeds and -bootstrap, or the others")
+	}
+	var err error
+	if s.ID, err = ReplicaID(s.Listen); err != nil {
+		return err
+	}
+	s.Host = "control-" + strconv.FormatUint(s.ID, 36)
+	s.Telemetry.Host = s.Host
+	for _, seed := range s.Seeds {
+		number, err := ReplicaID(seed)
+		if err != nil {
+			return err
+		}
+		s.Peers[number] = seed
+	}
+	_, isSeed := s.Peers[s.ID]
+	s.Join = !s.Bootstrap || !isSeed
+	return nil
+}
+
+// ReplicaID makes the number of a replica from its address, an IPv4 address and
+// a port, so that all processes make the same one.
+func ReplicaID(address string) (uint64, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil || !parsed.Addr().Is4() {
+		return 0, fault.Newf(fault.Invalid, "write an IPv4 address and a port, for example 10.0.0.1:7300", "no replica number can be made from %q", address)
+	}
+	host := parsed.Addr().As4()
+	return uint64(binary.BigEndian.Uint32(host[:]))<<16 | uint64(parsed.Port()), nil
+}
+
 func (s *Settings) readGroups() error {
 	if s.GroupsFile == "" {
 		return nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -37,17 +37,30 @@
 	Telemetry *telemetry.Config
 	// New assembles the daemon once the settings are parsed and checked.
 	New func(*slog.Logger) (Daemon, error)
+	// Reload puts settings in force that may change while the daemon runs. It
+	// registers all settings anew, reads them with parse, and returns its error,
+	// upon which everything stays as it was. Nil: a reload changes nothing.
+	Reload func(d Daemon, parse func(*setting.Set) error) error
+	// Args are the arguments; nil for those of the process.
+	Args []string
 }
 
 // Main runs the program with the arguments and the environment of this process
-// until SIGTERM or an interrupt, and returns the exit code.
+// until SIGTERM or an interrupt, and returns the exit code. SIGHUP, or a change
+// of the file of settings, is a reload and never an end.
 func Main(p Program) int {
+	if p.Args == nil {
+		p.Args = os.Args[1:]
+	}
 	set := setting.New(p.Name)
 	p.Register(set)
-	if code, done := set.Main(os.Args[1:], os.Environ(), os.Stdout, os.Stderr); done {
+	if code, done := set.Main(p.Args, os.Environ(), os.Stdout, os.Stderr); done {
 		return code
 	}
-	logger := telemetry.Logger(os.Stderr, p.Telemetry.LogLevel, set.Daemon(), p.Telemetry.Host)
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	logger := telemetry.Logger(os.Stdout, p.Telemetry.LogLevel, set.Daemon(), p.Telemetry.Host)
 	telemetry.Install(logger)
 	logger.Info("starting", slog.String("version", setting.Version()), slog.Any("settings", set))
 	for _, warning := range set.Warnings() {
@@ -55,15 +68,17 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	if err := p.run(ctx, logger); err != nil {
+	reloads := &reloader{program: p, file: set.File(), logger: logger, hangup: hangup}
+	if err := p.run(ctx, logger, reloads); err != nil {
 		logger.Error("the daemon failed", slog.Any("error", err))
 		return 1
 	}
+	logger.Info("ended")
 	return 0
 }
 
 // run serves until ctx ends.
-func (p Program) run(ctx context.Context, logger *slog.Logger) (err error) {
+func (p Program) run(ctx context.Context, logger *slog.Logger, reloads *reloader) (err error) {
 	flush, err := telemetry.Tracing(ctx, *p.Telemetry)
 	if err != nil {
 		return err
@@ -82,5 +97,6 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, admin.Shutdown(context.WithoutCancel(ctx))) }()
+	go reloads.run(ctx, d)
 	return d.Run(ctx)
 }
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -79,6 +79,12 @@
 	// Adapters are the adapters that an engine has been ordered to serve.
 	Adapters []string
 
+	// Addr is the endpoint's own address, host:port, if it is called directly;
+	// empty for one behind an agent.
+	Addr string
+	// Silent is true for an endpoint that is called directly and has stopped
+	// announcing itself: the reason may lie between it and the control replicas.
+	Silent bool
 	// AgentAddr is the address of the agent that is the gate of this endpoint.
 	AgentAddr string
 	// Incarnation is that agent's incarnation; it grows with each restart.
--- /dev/null
+++ b/endpoint/reach/reach.go
@@ -0,0 +1,77 @@
+// Package reach keeps away from endpoints that cannot be reached, and tries them
+// again with care.
+//
+// An endpoint that fails to take a request is left out for a time that doubles
+// with each failure in a row. One that works is back at once. An endpoint that
+// has also stopped announcing itself is not tried again until it announces
+// itself or works: so neither missed heartbeats alone nor one lost packet takes
+// an endpoint out for long, and a dead one costs few attempts.
+package reach
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// firstPause is the time without requests after one failure, a few times what
+	// a lost packet costs.
+	firstPause = 250 * time.Millisecond
+	// lastPause bounds it, so that a returned endpoint is found soon.
+	lastPause = 4 * time.Second
+	// maxDoublings keeps the shift from overflowing.
+	maxDoublings = 8
+)
+
+// Tracker knows which endpoints are out of reach. It is safe for concurrent use;
+// its lock is a leaf. Times are durations since an arbitrary start, monotonic.
+type Tracker struct {
+	mu      sync.Mutex
+	records map[string]*record
+}
+
+type record struct {
+	failures int
+	until    time.Duration
+}
+
+// New returns a tracker that believes all endpoints to be in reach.
+func New() *Tracker { return &Tracker{records: map[string]*record{}} }
+
+// Failed notes that an endpoint did not take a request.
+func (t *Tracker) Failed(now time.Duration, id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.records[id]
+	if r == nil {
+		r = &record{}
+		t.records[id] = r
+	}
+	pause := min(firstPause<<min(r.failures, maxDoublings), lastPause)
+	r.failures++
+	r.until = now + pause
+}
+
+// Worked notes that an endpoint has answered.
+func (t *Tracker) Worked(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.records, id)
+}
+
+// Forget drops what is known of an endpoint that has left.
+func (t *Tracker) Forget(id string) { t.Worked(id) }
+
+// Out returns the endpoints to leave out now, in no order. silent reports
+// whether an endpoint has stopped announcing itself.
+func (t *Tracker) Out(now time.Duration, silent func(id string) bool) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for id, r := range t.records {
+		if now < r.until || silent(id) {
+			out = append(out, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/endpoint/reach/reach_test.go
@@ -0,0 +1,40 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func announces(string) bool { return false }
+func silent(string) bool    { return true }
+
+func TestAnEndpointIsTriedAgainLaterAndLater(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	now := time.Duration(0)
+	pauses := []time.Duration{}
+	for range 7 {
+		tracker.Failed(now, "e")
+		began := now
+		for len(tracker.Out(now, announces)) > 0 {
+			now += 10 * time.Millisecond
+		}
+		pauses = append(pauses, now-began)
+	}
+	is.Equal(pauses[0], firstPause)
+	is.Equal(pauses[1], 2*firstPause)
+	is.Equal(pauses[6], lastPause)
+	tracker.Worked("e")
+	is.Equal(len(tracker.Out(now, announces)), 0)
+}
+
+func TestASilentEndpointIsOutOnlyAfterAFailure(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	is.Equal(len(tracker.Out(0, silent)), 0) // missed heartbeats alone take nothing out
+	tracker.Failed(0, "e")
+	is.Equal(len(tracker.Out(time.Hour, announces)), 0)
+	is.Equal(tracker.Out(time.Hour, silent), []string{"e"})
+}
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -36,7 +36,12 @@
 
 // Admit implements Admitter.
 func (a *Admissions) Admit(ctx context.Context, r Admission) (func(), error) {
-	release, err := a.gate(r.Pool).Acquire(ctx, workspace.Request{Workspace: r.Workspace, Priority: r.Priority, Cost: r.Tokens})
+	return a.AdmitTo(ctx, r.Pool, workspace.Request{Workspace: r.Workspace, Priority: r.Priority, Cost: r.Tokens})
+}
+
+// AdmitTo implements routed.Admitter.
+func (a *Admissions) AdmitTo(ctx context.Context, pool string, r workspace.Request) (func(), error) {
+	release, err := a.gate(pool).Acquire(ctx, r)
 	if err != nil {
 		return nil, err
 	}
--- a/entry/config.go
+++ b/entry/config.go
@@ -4,9 +4,12 @@
 	"strings"
 	"time"
 
+	"github.com/lilackeel/lilackeel/answer"
+
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/routed"
 	"github.com/lilackeel/lilackeel/setting"
 	"github.com/lilackeel/lilackeel/telemetry"
 )
@@ -54,6 +57,16 @@
 	ReportInterval time.Duration
 	// Peers is the number of entries of the fleet.
 	Peers int
+	// Routed answers callers by the routes of the published site, instead of by
+	// the completions API and the services.
+	Routed bool
+	// Headers and RetryStyle are how callers and endpoints are spoken to then.
+	Headers    routed.Headers
+	RetryStyle answer.Style
+	// RetryAfter is what callers are told then when nothing better is known.
+	RetryAfter time.Duration
+	// CallerIdle is how long an unused connection of a caller is kept.
+	CallerIdle time.Duration
 	// DrainDelay is how long a stopping entry goes on taking new requests while
 	// it is no longer ready, so that the balancer in front can turn away.
 	DrainDelay time.Duration
@@ -83,6 +96,9 @@
 	cfg.retrySettings(s)
 	s.Duration(&cfg.ReportInterval, "report-interval", 200*time.Millisecond, "time between two load reports of an agent", setting.Min(10*time.Millisecond))
 	s.Int(&cfg.Peers, "entries", 1, "number of entries of the fleet", setting.Min(1))
+	s.Bool(&cfg.Routed, "routed", false, "answer callers by the routes of the published site, instead of by the completions API")
+	s.Duration(&cfg.RetryAfter, "retry-after", call.DefaultRetryAfter, "when a refused caller of a route is asked to come back if nothing better is known", setting.Min(time.Millisecond))
+	s.Duration(&cfg.CallerIdle, "caller-idle", idleTimeout, "how long an unused connection of a caller is kept", setting.Min(time.Second))
 	s.Duration(&cfg.DrainDelay, "drain-delay", 2*time.Second, "how long a stopping entry that is not ready still takes requests", setting.Min(time.Duration(0)))
 	telemetry.Settings(s, &cfg.Telemetry)
 	link.Settings(s, &cfg.Link)
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -4,11 +4,15 @@
 	"context"
 
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/direct"
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
+	"github.com/lilackeel/lilackeel/endpoint/reach"
 	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/routed"
+	"github.com/lilackeel/lilackeel/site"
 )
 
 // configurer puts accepted configurations in force in the tables of the entry.
@@ -20,6 +24,9 @@
 	loads      *load.Tracker
 	index      *prefix.Index
 	outliers   *outlier.Detector
+	reach      *reach.Tracker
+	client     *direct.Client
+	routed     *routed.Server
 }
 
 // apply puts one configuration in force. The feed calls it in the order of the
@@ -27,6 +34,9 @@
 func (c *configurer) apply(ctx context.Context, view *feed.View, delta *fleetv1.Delta) {
 	c.directory.Apply(view)
 	c.admissions.Limit(delta.GetWorkspaces(), delta.GetRemovedWorkspaces())
+	if delta.GetSite() != nil {
+		c.routed.Publish(site.NewTable(view.Site))
+	}
 	upserts := make([]endpoint.Endpoint, 0, len(delta.GetEndpoints()))
 	for _, e := range delta.GetEndpoints() {
 		upserts = append(upserts, endpointOf(e))
@@ -36,6 +46,7 @@
 		c.loads.Forget(id)
 		c.index.Forget(id)
 		c.outliers.Forget(id)
+		c.reach.Forget(id)
 	}
 	if len(upserts) == 0 && len(delta.GetRemovedEndpoints()) == 0 {
 		return
@@ -57,6 +68,7 @@
 		ID: e.GetId(), Host: e.GetHost(), Zone: e.GetZone(), Region: e.GetRegion(), Pool: e.GetPool(),
 		Kind: endpoint.Engine, State: stateOf(e), Model: e.GetModel(), Version: e.GetVersion(), Role: e.GetRole(),
 		Adapters: e.GetAdapters(), AgentAddr: e.GetAgentAddr(), Incarnation: e.GetIncarnation(),
+		Addr: e.GetAddr(), Silent: e.GetAddr() != "" && !e.GetLive(),
 		Group: e.GetGroup(), Rank: int(e.GetRank()), Slots: int(e.GetSlots()), Revision: e.GetRevision(),
 	}
 	if e.GetKind() == fleetv1.EndpointKind_ENDPOINT_KIND_SERVICE {
@@ -68,7 +80,7 @@
 
 func stateOf(e *fleetv1.Endpoint) endpoint.State {
 	switch {
-	case e.GetState() == fleetv1.EndpointState_ENDPOINT_STATE_SERVING && e.GetLive():
+	case e.GetState() == fleetv1.EndpointState_ENDPOINT_STATE_SERVING && (e.GetLive() || e.GetAddr() != ""):
 		return endpoint.Serving
 	case e.GetState() == fleetv1.EndpointState_ENDPOINT_STATE_STOPPED:
 		return endpoint.Stopped
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -16,6 +16,7 @@
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/routed"
 	"github.com/lilackeel/lilackeel/telemetry"
 )
 
@@ -37,6 +38,7 @@
 type Daemon struct {
 	config     Config
 	server     *Server
+	routed     *routed.Server
 	feed       *feed.Client
 	relay      *relay
 	configurer *configurer
@@ -55,6 +57,10 @@
 // Ready says whether the daemon takes new requests.
 func (d *Daemon) Ready() *telemetry.Ready { return d.ready }
 
+// Reload puts the sources of the configuration of other settings in force; the
+// rest cannot change while the daemon runs.
+func (d *Daemon) Reload(fresh Config) { d.feed.SetSources(fresh.Feed) }
+
 // Run serves callers until ctx ends, and then stops without cutting a request:
 // readiness falls first, after the drain delay no connection is accepted any
 // more, and the requests in flight finish.
@@ -86,6 +92,9 @@
 func (d *Daemon) applied(ctx context.Context, view *feed.View, delta *fleetv1.Delta) {
 	d.configurer.apply(ctx, view, delta)
 	d.logger.Debug("a configuration is in force", slog.Uint64("revision", view.Revision))
+	if d.config.Routed && !d.routed.Published() {
+		return
+	}
 	d.ready.Set(true, "")
 	if d.stopping.Load() {
 		d.ready.Set(false, reasonStopping)
@@ -96,9 +105,13 @@
 func (d *Daemon) stop(ctx context.Context, server *http.Server, failed <-chan error) error {
 	d.stopping.Store(true)
 	d.ready.Set(false, reasonStopping)
-	d.logger.Info("stopping after the requests in flight", slog.Int64("requests", d.server.metrics.inFlight.Load()))
-	server.SetKeepAlivesEnabled(false)
+	d.routed.Stop()
+	d.logger.Info("stopping after the requests in flight", slog.Int64("requests", d.server.metrics.inFlight.Load()+d.routed.InFlight()))
+	if !d.config.Routed {
+		server.SetKeepAlivesEnabled(false)
+	}
 	sleep(ctx, d.config.DrainDelay)
+	server.SetKeepAlivesEnabled(false)
 	err := server.Shutdown(ctx)
 	d.server.Settled()
 	if served := <-failed; !errors.Is(served, http.ErrServerClosed) {
@@ -112,6 +125,9 @@
 func (d *Daemon) httpServer() *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	if d.config.Routed {
+		return d.routedServer(protocols)
+	}
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           d.server,
@@ -123,6 +139,23 @@
 	}
 }
 
+// routedServer serves callers of routes, whose requests are watched for mixed
+// framing.
+func (d *Daemon) routedServer(protocols *http.Protocols) *http.Server {
+	guard := routed.FramingGuard{Listener: d.listener}
+	d.listener = guard
+	return &http.Server{
+		Handler:           d.routed,
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       d.config.CallerIdle,
+		MaxHeaderBytes:    headerHardLimit,
+		ConnState:         guard.ConnState,
+		ConnContext:       guard.ConnContext,
+		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+	}
+}
+
 // tickOutliers takes the endpoints out of rotation that do worse than their
 // peers.
 func (d *Daemon) tickOutliers(ctx context.Context) {
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -8,14 +8,13 @@
 	"time"
 
 	"github.com/lilackeel/lilackeel/agent/hopbyhop"
+	"github.com/lilackeel/lilackeel/answer"
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	"github.com/lilackeel/lilackeel/call"
-	"github.com/lilackeel/lilackeel/fault"
 )
 
 const (
-	headerTrailer    = "Trailer"
-	headerRetryAfter = "Retry-After"
+	headerTrailer = "Trailer"
 	// eventEnd ends a server-sent event.
 	eventEnd = "\n\n"
 )
@@ -132,24 +131,9 @@
 
 // refuse writes a typed error as the whole answer.
 func (d *delivery) refuse(v *call.Verdict) {
-	text, err := json.Marshal(v.Body(d.id))
-	if err != nil {
-		text = nil
-	}
-	header := d.w.Header()
-	header.Set(headerContentType, "application/json")
-	header.Set(headerContentLength, strconv.Itoa(len(text)))
-	header.Set(call.HeaderOutcome, v.Outcome.String())
-	if seconds := v.RetryAfterSeconds(); seconds > 0 {
-		header.Set(headerRetryAfter, strconv.FormatInt(seconds, 10))
-	}
-	if v.Fault.Kind == fault.Unauthenticated {
-		header.Set("WWW-Authenticate", "Bearer")
-	}
 	d.opened = true
 	d.limit()
-	d.w.WriteHeader(v.HTTPStatus())
-	d.write([][]byte{text})
+	d.err = answer.Refuse(d.w, d.id, v, answer.WholeSeconds)
 	d.flush()
 }
 
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -3,16 +3,21 @@
 import (
 	"log/slog"
 	"math/rand/v2"
+	"time"
 
 	"google.golang.org/grpc"
 
+	"github.com/lilackeel/lilackeel/call"
+	"github.com/lilackeel/lilackeel/direct"
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
+	"github.com/lilackeel/lilackeel/endpoint/reach"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/routed"
 	"github.com/lilackeel/lilackeel/telemetry"
 )
 
@@ -37,4 +42,31 @@
 	return pick.New(pick.Config{}, table, loads, index, outliers)
 }
 
+func newDirectClient() *direct.Client { return direct.NewClient(direct.Config{}) }
+
+// newRouted returns the server of the published site's routes.
+func newRouted(
+	cfg Config, table *endpoint.Table, loads *load.Tracker, outliers *outlier.Detector, picker *pick.Picker,
+	admissions *Admissions, reached *reach.Tracker, client *direct.Client, logger *slog.Logger,
+) *routed.Server {
+	policy := cfg.policy()
+	headers := cfg.Headers
+	if headers.Endpoint == "" {
+		headers = routed.DefaultHeaders
+	}
+	settings := routed.Config{
+		Name: cfg.Name, Zone: cfg.Zone, Headers: headers, RetryStyle: cfg.RetryStyle,
+		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxBodyBytes: cfg.MaxBodyBytes,
+		BodyTimeout: cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout, HoldBytes: policy.HoldBytes,
+		Backoff: policy.Backoff, RetryAfter: cfg.RetryAfter, AccessLog: cfg.AccessLog,
+	}
+	parts := routed.Parts{
+		Admitter: admissions, Picker: picker, Endpoints: table, Loads: loads, Outliers: outliers,
+		Reach: reached, Client: client, Budget: call.NewBudget(cfg.budget()), Logger: logger,
+	}
+	return routed.NewServer(settings, parts, func() time.Duration { return time.Since(processStart) })
+}
+
 func newReady() *telemetry.Ready { return telemetry.NewReady() }
+
+func newReach() *reach.Tracker { return reach.New() }
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -44,6 +44,9 @@
 		Logger:    logger,
 	}
 	server := NewServer(cfg, parts)
+	reachTracker := newReach()
+	directClient := newDirectClient()
+	routedServer := newRouted(cfg, table, tracker, detector, picker, admissions, reachTracker, directClient, logger)
 	entryRelay, err := newRelay(cfg, client, logger)
 	if err != nil {
 		return nil, err
@@ -56,6 +59,9 @@
 		loads:      tracker,
 		index:      index,
 		outliers:   detector,
+		reach:      reachTracker,
+		client:     directClient,
+		routed:     routedServer,
 	}
 	ready := newReady()
 	listener, err := listen(cfg)
@@ -65,6 +71,7 @@
 	daemon := &Daemon{
 		config:     cfg,
 		server:     server,
+		routed:     routedServer,
 		feed:       client,
 		relay:      entryRelay,
 		configurer: entryConfigurer,
--- /dev/null
+++ b/eventstream/eventstream_test.go
@@ -0,0 +1,92 @@
+package eventstream
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func events(from, to int) string {
+	text := ""
+	for id := from; id <= to; id++ {
+		text += fmt.Sprintf("id: %d\ndata: part %d\n\n", id, id)
+	}
+	return text
+}
+
+// TestEveryCutIsResumedWithoutGapOrRepeat cuts a stream at every byte and goes
+// on at every event up to the one after the cut.
+func TestEveryCutIsResumedWithoutGapOrRepeat(t *testing.T) {
+	whole := events(1, 6)
+	for cut := range len(whole) + 1 {
+		for back := range 3 {
+			is := is.New(t)
+			var s Splitter
+			out, err := s.Add([]byte(whole[:cut]))
+			is.NoErr(err)
+			got := string(out)
+			last, _ := s.Last()
+			s.Resume()
+			out, err = s.Add([]byte(events(max(1, int(last)+1-back), 6)))
+			is.NoErr(err)
+			is.Equal(got+string(out), whole) // cut and resumed
+		}
+	}
+}
+
+func TestAnyPartitionGivesTheSameEvents(t *testing.T) {
+	is := is.New(t)
+	whole := events(1, 40)
+	rng := rand.New(rand.NewPCG(1, 2))
+	var s Splitter
+	got := ""
+	for rest := whole; rest != ""; {
+		n := min(1+rng.IntN(30), len(rest))
+		out, err := s.Add([]byte(rest[:n]))
+		is.NoErr(err)
+		got += string(out)
+		rest = rest[n:]
+	}
+	is.Equal(got, whole)
+	is.True(!s.Partial())
+}
+
+func TestAResumedAttemptMustNotLeaveAnEventOut(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	_, err := s.Add([]byte(events(1, 3)))
+	is.NoErr(err)
+	s.Resume()
+	out, err := s.Add([]byte(events(5, 6)))
+	is.True(err != nil)
+	is.Equal(len(out), 0)
+}
+
+func TestAnEventTwiceInOneAttemptIsAFault(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	_, err := s.Add([]byte(events(1, 3) + events(3, 4)))
+	is.True(err != nil)
+}
+
+func TestACallerMayStartInTheMiddle(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	s.From(12)
+	out, err := s.Add([]byte(events(13, 14) + "id: 15\ndata"))
+	is.NoErr(err)
+	is.Equal(string(out), events(13, 14))
+	is.True(s.Partial())
+	last, ok := s.Last()
+	is.True(ok)
+	is.Equal(last, int64(14))
+}
+
+func TestAnEventWithoutEndIsBounded(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	_, err := s.Add(make([]byte, MaxEventBytes+1))
+	is.True(err != nil)
+}
--- a/feed/client.go
+++ b/feed/client.go
@@ -57,6 +57,8 @@
 	changed  chan struct{}
 	applied  []func(*Step)
 	source   string
+	// sources are those to watch, in order of preference.
+	sources []string
 }
 
 // NewClient returns a client, which does nothing before Run.
@@ -72,9 +74,26 @@
 		cfg:      cfg,
 		follower: NewFollower(cfg.Limits, time.Now(), rand.Uint64()>>1),
 		changed:  make(chan struct{}),
+		sources:  cfg.Sources,
 	}
 }
 
+// SetSources replaces the sources. The one that is watched stays until it fails.
+func (c *Client) SetSources(sources []string) {
+	if len(sources) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sources = sources
+}
+
+func (c *Client) currentSources() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sources
+}
+
 // orDefault returns the value if it is set.
 func orDefault(value, standard time.Duration) time.Duration {
 	if value > 0 {
@@ -148,7 +167,9 @@
 	defer connections.close()
 	order := newRotation(len(c.cfg.Sources))
 	for ctx.Err() == nil {
-		source := c.cfg.Sources[order.index]
+		sources := c.currentSources()
+		order.resize(len(sources))
+		source := sources[order.index]
 		worked, err := c.watch(ctx, connections, source, order.stay())
 		if ctx.Err() != nil {
 			break
--- a/feed/rotation.go
+++ b/feed/rotation.go
@@ -32,6 +32,12 @@
 	return &rotation{sources: sources, back: returnAfter}
 }
 
+// resize fits the rotation to another number of sources.
+func (r *rotation) resize(sources int) {
+	r.sources = sources
+	r.index %= sources
+}
+
 // stay returns how long to watch the present source; zero for no limit.
 func (r *rotation) stay() time.Duration {
 	if r.index == 0 {
--- a/feed/view.go
+++ b/feed/view.go
@@ -23,6 +23,8 @@
 	Policies Table[*fleetv1.BalancePolicy]
 	// Maps holds the expert map records by group of ranks.
 	Maps Table[*fleetv1.MapRecord]
+	// Site is what the site serves to callers; nil where none was published.
+	Site *fleetv1.Site
 
 	// byDigest finds a workspace by the digest of one of its keys.
 	byDigest Table[*fleetv1.Workspace]
@@ -45,6 +47,7 @@
 		Endpoints:  configuration.GetEndpoints(),
 		Policies:   configuration.GetPolicies(),
 		Maps:       configuration.GetMaps(),
+		Site:       configuration.GetSite(),
 	})
 }
 
@@ -60,10 +63,19 @@
 		Endpoints:  change(v.Endpoints, delta.GetEndpoints(), (*fleetv1.Endpoint).GetId, delta.GetRemovedEndpoints()),
 		Policies:   change(v.Policies, delta.GetPolicies(), (*fleetv1.BalancePolicy).GetGroup, nil),
 		Maps:       change(v.Maps, delta.GetMaps(), (*fleetv1.MapRecord).GetGroup, nil),
+		Site:       changeSite(v.Site, delta.GetSite()),
 		byDigest:   v.changeDigests(delta),
 	}
 }
 
+// changeSite returns the site after a delta, which has none if it is unchanged.
+func changeSite(before, changed *fleetv1.Site) *fleetv1.Site {
+	if changed == nil {
+		return before
+	}
+	return changed
+}
+
 // changeDigests returns the index of key digests after the delta. A digest that
 // has gone over to another workspace stays with that one.
 func (v *View) changeDigests(delta *fleetv1.Delta) Table[*fleetv1.Workspace] {
@@ -109,6 +121,7 @@
 		Endpoints:  records(v.Endpoints),
 		Policies:   records(v.Policies),
 		Maps:       records(v.Maps),
+		Site:       v.Site,
 	}
 }
 
@@ -136,6 +149,9 @@
 	delta.Endpoints, delta.RemovedEndpoints = diff(old.Endpoints, new.Endpoints)
 	delta.Policies, _ = diff(old.Policies, new.Policies)
 	delta.Maps, _ = diff(old.Maps, new.Maps)
+	if new.Site != old.Site && !proto.Equal(new.Site, old.Site) {
+		delta.Site = new.Site
+	}
 	return delta
 }
 
--- /dev/null
+++ b/routed/exchange.go
@@ -0,0 +1,335 @@
+package routed
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"github.com/lilackeel/lilackeel/answer"
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/call"
+	"github.com/lilackeel/lilackeel/direct"
+	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/endpoint/load"
+	"github.com/lilackeel/lilackeel/endpoint/outlier"
+	"github.com/lilackeel/lilackeel/endpoint/pick"
+	"github.com/lilackeel/lilackeel/eventstream"
+	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/site"
+	"github.com/lilackeel/lilackeel/telemetry"
+	"github.com/lilackeel/lilackeel/workspace"
+)
+
+// answerGrace is how long an endpoint's own word on the end of the time may come
+// after the deadline that it was given: it knows what became of the request.
+const answerGrace = 100 * time.Millisecond
+
+// exchange brings one request to its end.
+type exchange struct {
+	server  *Server
+	request *request
+	machine *call.Direct
+	w       http.ResponseWriter
+	control *http.ResponseController
+	// caller ends when the caller leaves.
+	caller context.Context
+	// tried lists the endpoints that got the request, or could not be reached.
+	tried []string
+	// events cuts a stream into events; opened says that the answer has begun.
+	events eventstream.Splitter
+	opened bool
+	// target is the endpoint of the present attempt.
+	target  endpoint.Endpoint
+	outcome string
+	reason  string
+}
+
+// run returns false when the connection must be aborted.
+func (x *exchange) run() bool {
+	s, q := x.server, x.request
+	x.machine = call.NewDirect(call.DirectOptions{
+		Deadline: q.deadline, Repeatable: site.Repeatable(q.route), MaxAttempts: int(q.route.GetMaxAttempts()),
+		Backoff: s.config.Backoff, RetryAfter: s.config.RetryAfter, Budget: s.Budget, Rand: sharedRand,
+	})
+	admitted, cancel := context.WithTimeout(x.caller, max(q.deadline-s.clock(), 0))
+	release, err := s.Admitter.AdmitTo(admitted, q.pool, workspace.Request{
+		Workspace: q.workspace.GetName(), Priority: -q.priority, Deadline: q.deadline, Cost: q.work.PromptTokens + q.work.MaxTokens,
+	})
+	cancel()
+	if err != nil {
+		return x.end(x.machine.GiveUp(s.clock(), asFault(err)))
+	}
+	defer release()
+	if last, err := strconv.ParseInt(q.header.Get(headerLastEvent), 10, 64); err == nil {
+		x.events.From(last)
+	}
+	for {
+		result := x.attempt()
+		if result.done {
+			return x.report(result)
+		}
+		step := result.step
+		if !step.Again {
+			step = x.machine.Ended(s.clock(), result.progress, result.fault)
+		}
+		if x.caller.Err() != nil {
+			return x.report(attemptResult{done: true, abort: true, outcome: "caller left"})
+		}
+		if !step.Again {
+			return x.end(step.Verdict)
+		}
+		x.note("trying again", result.fault, step.Delay)
+		sleep(x.caller, step.Delay)
+	}
+}
+
+// attemptResult is how an attempt ended.
+type attemptResult struct {
+	// done is true when the caller has all that it will get; abort then closes
+	// its connection.
+	done, abort bool
+	outcome     string
+	// progress and fault say what an attempt without a whole answer came to; step
+	// is set when the machine has been told already.
+	progress call.Progress
+	fault    *fault.Error
+	step     call.Step
+}
+
+func failed(p call.Progress, f *fault.Error) attemptResult {
+	return attemptResult{progress: p, fault: f}
+}
+
+// attempt sends the request to one endpoint and delivers what comes.
+func (x *exchange) attempt() attemptResult {
+	s, q := x.server, x.request
+	target, err := x.pick()
+	if err != nil {
+		return x.notPicked(asFault(err))
+	}
+	x.target = target
+	x.tried = append(x.tried, target.ID)
+	ctx, span := telemetry.Span(x.work(), "dispatch", attribute.String("endpoint", target.ID))
+	defer span.End()
+	ctx, cancel := context.WithTimeout(ctx, max(q.deadline-s.clock(), 0)+answerGrace)
+	defer cancel()
+	s.metrics.attempts.Inc()
+	a := &attempt{exchange: x, started: s.clock(), load: s.Loads.Sent(s.clock(), target.ID, q.work)}
+	response, err := s.Client.Send(ctx, target.Addr, x.message(&target))
+	if err != nil {
+		return a.unanswered(asFault(err))
+	}
+	defer func() { _ = response.Body.Close() }()
+	return a.answered(response)
+}
+
+// work is the context of the work for the request: it ends when the caller
+// leaves, but for a call that must not be cut in the middle.
+func (x *exchange) work() context.Context {
+	if x.request.route.GetKind() == fleetv1.CallKind_CALL_KIND_SINGLE {
+		return context.WithoutCancel(x.caller)
+	}
+	return x.caller
+}
+
+// pick chooses an endpoint that has not been tried and is in reach; when there is
+// none in reach, any that has not been tried.
+func (x *exchange) pick() (endpoint.Endpoint, error) {
+	s, q := x.server, x.request
+	now := s.clock()
+	view := s.Endpoints.Snapshot()
+	out := s.Reach.Out(now, func(id string) bool {
+		e, known := view.Get(id)
+		return !known || e.Silent
+	})
+	wanted := pick.Request{
+		Pool: q.pool, Workspace: q.workspace.GetName(), Zone: s.config.Zone, Priority: q.priority,
+		PromptTokens: q.work.PromptTokens, MaxTokens: q.work.MaxTokens, Exclude: append(out, x.tried...),
+	}
+	chosen, _, err := s.Picker.Pick(now, sharedRand, &wanted)
+	if err != nil && len(out) > 0 && fault.KindOf(err) != fault.Overloaded {
+		wanted.Exclude = x.tried
+		chosen, _, err = s.Picker.Pick(now, sharedRand, &wanted)
+	}
+	return chosen, err
+}
+
+// notPicked ends a request for which there is no endpoint (any more).
+func (x *exchange) notPicked(f *fault.Error) attemptResult {
+	now := x.server.clock()
+	if f.Kind == fault.NotFound {
+		// The pool is of the site, so its endpoints are yet to come.
+		f = fault.New(fault.Unavailable, "no endpoint of the pool is known", "ask again after the time given")
+	}
+	return x.finish(x.machine.GiveUp(now, f))
+}
+
+// message is what the endpoint gets.
+func (x *exchange) message(target *endpoint.Endpoint) *direct.Request {
+	s, q := x.server, x.request
+	names := s.config.Headers
+	header := forward(q.header, s.private)
+	header.Set(call.HeaderRequestID, q.id)
+	left := max(q.deadline-s.clock(), time.Millisecond)
+	setNamed(header, names.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	setNamed(header, names.Endpoint, target.ID)
+	if q.workspace != nil {
+		setNamed(header, names.Workspace, q.workspace.GetName())
+	}
+	if last, ok := x.events.Last(); ok {
+		header.Set(headerLastEvent, strconv.FormatInt(last, 10))
+	} else if given := q.header.Values(headerLastEvent); len(given) > 0 {
+		header[headerLastEvent] = given
+	}
+	return &direct.Request{Method: q.method, Target: q.target, Host: q.host, ID: q.id, Header: header, Body: q.body}
+}
+
+func setNamed(header http.Header, name, value string) {
+	if name != "" {
+		header.Set(name, value)
+	}
+}
+
+// finish gives the verdict within an attempt.
+func (x *exchange) finish(v *call.Verdict) attemptResult {
+	clean := x.end(v)
+	return attemptResult{done: true, abort: !clean, outcome: ""}
+}
+
+// end gives the verdict on a request without a whole answer. It returns false
+// when the connection must be aborted.
+func (x *exchange) end(v *call.Verdict) bool {
+	s, q := x.server, x.request
+	x.outcome, x.reason = v.Outcome.String(), v.Fault.Error()
+	if x.opened {
+		return x.logEnd(0, false)
+	}
+	x.w.Header().Set(call.HeaderRequestID, q.id)
+	x.limit()
+	if err := answer.Refuse(x.w, q.id, v, s.config.RetryStyle); err != nil {
+		return x.logEnd(v.HTTPStatus(), false)
+	}
+	return x.logEnd(v.HTTPStatus(), true)
+}
+
+// report notes the end of a request whose last attempt has delivered something.
+func (x *exchange) report(r attemptResult) bool {
+	if r.outcome == "" {
+		// The verdict has been given and logged.
+		return !r.abort
+	}
+	x.outcome = r.outcome
+	if r.fault != nil {
+		x.reason = r.fault.Error()
+	}
+	return x.logEnd(0, !r.abort)
+}
+
+func (x *exchange) logEnd(status int, clean bool) bool {
+	s, q := x.server, x.request
+	took := s.clock() - q.arrived
+	s.metrics.ended(q.pool, x.outcome, took)
+	if x.outcome == call.Answered.String() && !s.config.AccessLog {
+		return clean
+	}
+	s.Logger.LogAttrs(x.caller, slog.LevelInfo, "ended a request",
+		slog.String("request_id", q.id), slog.String("route", q.route.GetName()), slog.Uint64("version", q.version),
+		slog.String("workspace", q.workspace.GetName()), slog.String("pool", q.pool), slog.String("endpoint", x.target.ID),
+		slog.Int("attempts", len(x.tried)), slog.String("outcome", x.outcome), slog.Int("status", status),
+		slog.Duration("took", took), slog.Duration("left", q.deadline-s.clock()), slog.String("reason", x.reason))
+	return clean
+}
+
+// note logs a decision on the way.
+func (x *exchange) note(what string, f *fault.Error, delay time.Duration) {
+	x.server.Logger.LogAttrs(x.caller, slog.LevelInfo, what,
+		slog.String("request_id", x.request.id), slog.String("endpoint", x.target.ID), slog.Int("attempts", len(x.tried)),
+		slog.Duration("delay", delay), slog.String("reason", f.Error()))
+}
+
+// limit bounds the time that the caller takes for what is written next.
+func (x *exchange) limit() {
+	_ = x.control.SetWriteDeadline(time.Now().Add(x.server.config.WriteTimeout))
+}
+
+// attempt is one dispatch that is under way.
+type attempt struct {
+	*exchange
+	load    load.Call
+	started time.Duration
+	// first is when the first part of the answer came, parts how many came.
+	first time.Duration
+	parts int
+}
+
+// unanswered ends an attempt that has not brought the head of an answer.
+func (a *attempt) unanswered(f *fault.Error) attemptResult {
+	s := a.server
+	now := s.clock()
+	left := a.caller.Err() != nil
+	late := now >= a.request.deadline
+	a.done(!left && !late)
+	if !left && !late {
+		s.Reach.Failed(now, a.target.ID)
+	}
+	if f.Kind == fault.Unavailable {
+		return failed(call.Unsent, f)
+	}
+	return failed(call.Ran, f)
+}
+
+// done notes how the endpoint did.
+func (a *attempt) done(fault bool) {
+	s, now := a.server, a.server.clock()
+	s.Loads.Done(now, &a.load, load.Result{Failed: fault, Tokens: a.parts})
+	sample := outlier.Sample{Failed: fault}
+	if !fault {
+		sample.Latency = a.pace(now)
+	}
+	s.Outliers.Observe(now, a.target.Pool, a.target.ID, sample)
+}
+
+// pace is the time of an attempt divided by its size, comparable among peers.
+func (a *attempt) pace(now time.Duration) time.Duration {
+	switch {
+	case a.request.route.GetKind() != fleetv1.CallKind_CALL_KIND_STREAM:
+		return now - a.started
+	case a.parts > 1:
+		return (now - a.first) / time.Duration(a.parts-1)
+	}
+	return 0
+}
+
+// lockedSource is a random source that is safe for concurrent use.
+type lockedSource struct{}
+
+// Uint64 implements rand.Source.
+func (lockedSource) Uint64() uint64 { return rand.Uint64() }
+
+// sharedRand spreads waits and choices.
+var sharedRand = rand.New(lockedSource{})
+
+func asFault(err error) *fault.Error {
+	if f := fault.As(err); f != nil {
+		return f
+	}
+	return fault.New(fault.Internal, "an unexpected error", "report the defect with the log of the daemon").Because(err)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/routed/metrics.go
@@ -0,0 +1,38 @@
+package routed
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/lilackeel/lilackeel/call"
+)
+
+// serverMetrics counts what became of requests.
+type serverMetrics struct {
+	inFlight atomic.Int64
+	attempts *metrics.Counter
+	resumes  *metrics.Counter
+}
+
+func newServerMetrics() *serverMetrics {
+	m := &serverMetrics{
+		attempts: metrics.GetOrCreateCounter(`lilackeel_routed_attempts_total`),
+		resumes:  metrics.GetOrCreateCounter(`lilackeel_routed_resumes_total`),
+	}
+	metrics.GetOrCreateGauge(`lilackeel_routed_requests_in_flight`, func() float64 { return float64(m.inFlight.Load()) })
+	return m
+}
+
+// refused counts a request that was not taken on.
+func (m *serverMetrics) refused(v *call.Verdict) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`lilackeel_routed_refusals_total{kind=%q,status="%d"}`, string(v.Fault.Kind), v.HTTPStatus())).Inc()
+}
+
+// ended counts a request that was taken on.
+func (m *serverMetrics) ended(pool, outcome string, took time.Duration) {
+	metrics.GetOrCreateCounter(fmt.Sprintf(`lilackeel_routed_requests_total{pool=%q,outcome=%q}`, pool, outcome)).Inc()
+	metrics.GetOrCreateHistogram(fmt.Sprintf(`lilackeel_routed_request_seconds{pool=%q}`, pool)).Update(took.Seconds())
+}
--- /dev/null
+++ b/routed/request.go
@@ -0,0 +1,155 @@
+package routed
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/call"
+	"github.com/lilackeel/lilackeel/endpoint/load"
+	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/site"
+)
+
+// request is one parsed request.
+type request struct {
+	id      string
+	version uint64
+	arrived time.Duration
+	// deadline is when the caller must have the final answer.
+	deadline  time.Duration
+	route     *fleetv1.Route
+	workspace *fleetv1.Workspace
+	pool      string
+	priority  int
+	// target is path and query as they stood in the request line.
+	method, target, host string
+	header               http.Header
+	body                 []byte
+	work                 load.Work
+}
+
+// parse reads a request. What it returns beside a verdict names the request as
+// far as it was read.
+func (s *Server) parse(w http.ResponseWriter, r *http.Request) (*request, *call.Verdict) {
+	table := s.table.Load()
+	q := &request{
+		id: s.requestID(r), arrived: s.clock(), version: table.Version(),
+		method: r.Method, host: r.Host, header: r.Header, target: target(r),
+	}
+	if mixedFraming(r) {
+		return q, call.Refuse(errMixedFraming)
+	}
+	if !table.Published() {
+		return q, call.Refuse(errNoSite)
+	}
+	if v := s.checkHead(r, table); v != nil {
+		return q, v
+	}
+	if v := q.find(r, table); v != nil {
+		return q, v
+	}
+	q.deadline = q.arrived + time.Duration(q.route.GetTimeoutMs())*time.Millisecond
+	if wait := readMillis(r.Header, s.config.Headers.Deadline); wait > 0 {
+		q.deadline = min(q.deadline, q.arrived+wait)
+	}
+	q.pool = site.PoolOf(q.route, xxhash.Sum64String(q.id))
+	q.priority = site.Priority(q.route, q.workspace)
+	if s.config.Headers.Size != nil {
+		q.work.PromptTokens, q.work.MaxTokens = s.config.Headers.Size(r.Header)
+	}
+	return q, s.readBody(w, r, q, table)
+}
+
+// target returns path and query byte for byte.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// checkHead bounds the head of a request.
+func (s *Server) checkHead(r *http.Request, table *site.Table) *call.Verdict {
+	limit := orDefault(table.Limits().GetHeaderBytes(), s.config.MaxHeaderBytes)
+	size := int64(len(r.Method) + len(r.RequestURI) + len(r.Host))
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += int64(len(name) + len(value) + len(": \r\n"))
+		}
+	}
+	if size <= limit {
+		return nil
+	}
+	return call.RefuseWith(http.StatusRequestHeaderFieldsTooLarge, fault.Newf(fault.Invalid, "send fewer or shorter headers",
+		"the headers have %d bytes, the limit is %d", size, limit))
+}
+
+func orDefault(value, fallback int64) int64 {
+	if value > 0 {
+		return value
+	}
+	return fallback
+}
+
+// find looks up the route and the workspace.
+func (q *request) find(r *http.Request, table *site.Table) *call.Verdict {
+	path, _, _ := strings.Cut(q.target, "?")
+	q.route = table.Route(q.host, path)
+	if q.route == nil {
+		return call.Refuse(fault.Newf(fault.NotFound, "use the host and path of a route", "no route leads to %s%s", q.host, path))
+	}
+	scheme, key, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	key = strings.TrimSpace(key)
+	if !strings.EqualFold(scheme, "Bearer") {
+		key = ""
+	}
+	known := false
+	if key != "" {
+		q.workspace, known = table.Workspace(key)
+	}
+	if known || q.route.GetPublic() || !table.HasWorkspaces() {
+		return nil
+	}
+	return call.Refuse(fault.New(fault.Unauthenticated, "the workspace key is missing or not known",
+		"send Authorization: Bearer with a key of your workspace"))
+}
+
+// readBody reads the whole body, so that what is forwarded is whole and can be
+// sent again.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, q *request, table *site.Table) *call.Verdict {
+	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
+		return nil
+	}
+	limit := orDefault(table.Limits().GetBodyBytes(), s.config.MaxBodyBytes)
+	if r.ContentLength > limit {
+		return errBodyTooLarge(limit)
+	}
+	control := http.NewResponseController(w)
+	left := min(s.config.BodyTimeout, max(q.deadline-s.clock(), time.Millisecond))
+	_ = control.SetReadDeadline(time.Now().Add(left))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	var timeout net.Error
+	switch {
+	case err == nil:
+		q.body = body
+		return nil
+	case errors.As(err, &tooLarge):
+		return errBodyTooLarge(limit)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return call.RefuseWith(http.StatusRequestTimeout, fault.New(fault.Invalid, "the body did not come in time", "send it again").Because(err))
+	}
+	return call.RefuseWith(http.StatusBadRequest, fault.New(fault.Invalid, "the body is not whole", "send it again").Because(err))
+}
+
+func errBodyTooLarge(limit int64) *call.Verdict {
+	return call.RefuseWith(http.StatusRequestEntityTooLarge, fault.Newf(fault.Invalid, "send a smaller body", "the body is over the limit of %d bytes", limit))
+}
--- a/setting/parse.go
+++ b/setting/parse.go
@@ -49,6 +49,7 @@
 		return PrintVersion, nil
 	}
 	s.readEnvironment(environ)
+	faults = append(faults, s.readFile()...)
 	for _, entry := range s.settings {
 		entry.resolve()
 		faults = append(faults, entry.faults...)
@@ -132,6 +133,10 @@
 		}
 		entry, known := byVariable[variable]
 		switch {
+		case variable == EnvironmentPrefix+strings.ToUpper(fileName):
+			if s.file == "" {
+				s.file = text
+			}
 		case !known:
 			s.warnings = append(s.warnings, variable+" is not a setting of "+s.daemon)
 		case text != "" && entry.source < fromEnvironment:
@@ -200,6 +205,8 @@
 // origin names the input that the value came from.
 func (e *setting) origin() string {
 	switch e.source {
+	case fromFile:
+		return e.name + " in the file of settings"
 	case fromEnvironment:
 		return e.environmentName()
 	case fromFlag:
--- a/setting/set.go
+++ b/setting/set.go
@@ -37,6 +37,8 @@
 	checks   []func() error
 	check    bool
 	version  bool
+	// file is the path of the file of settings, empty for none.
+	file     string
 	warnings []string
 }
 
@@ -60,6 +62,7 @@
 
 const (
 	fromDefault source = iota
+	fromFile
 	fromEnvironment
 	fromFlag
 )
@@ -74,6 +77,7 @@
 	s.flags.Usage = func() {}
 	s.flags.BoolVar(&s.check, "check", false, "validate the settings and exit")
 	s.flags.BoolVar(&s.version, "version", false, "print the version and exit")
+	s.flags.StringVar(&s.file, fileName, "", "file of settings, a line of name = value each; environment and flags go first")
 	return s
 }
 
