Switch the expert maps of ranks that hold steps themselves

Cause: engines served passes at 3.57 times the mean rank's load with their first map; the product's ranks ask for each step, these hold and arm themselves.

Change: rankhost puts the promise of a mapswitch.Rank into effect by holding the step before it is given, and releases it only once armed; a formation of a group is a group of its own; balance.Follower weighs switches within seconds, each rank taking at most spare experts; entries get the ranks' fresh loads.

--- a/agent/ranks/machine.go
+++ b/agent/ranks/machine.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lilackeel/lilackeel/agent/engineapi"
+	"github.com/lilackeel/lilackeel/agent/tally"
 	"github.com/lilackeel/lilackeel/group/mapswitch"
 )
 
@@ -21,7 +22,7 @@
 	// loading names the epochs whose order is under way.
 	loading map[uint64]bool
 	// experts is what was counted and not yet reported.
-	experts tally
+	experts tally.Tally
 	// changed closes when the machine has taken in a message.
 	changed chan struct{}
 }
--- a/agent/ranks/read.go
+++ b/agent/ranks/read.go
@@ -110,7 +110,7 @@
 	r.ranks.mu.Lock()
 	record := r.record
 	r.ranks.mu.Unlock()
-	if found, ok := findMap(record, epoch, digest); ok {
+	if found, ok := mapwire.FindMap(record, epoch, digest); ok {
 		return found, nil
 	}
 	record, _, err := r.ranks.cfg.Control.ReadMap(ctx, r.group)
@@ -120,24 +120,13 @@
 	r.ranks.mu.Lock()
 	r.record = record
 	r.ranks.mu.Unlock()
-	if found, ok := findMap(record, epoch, digest); ok {
+	if found, ok := mapwire.FindMap(record, epoch, digest); ok {
 		return found, nil
 	}
 	return group.Map{}, fault.Newf(fault.NotFound, "wait for the next decision on the group's map",
 		"the record of group %s has no map of epoch %d", r.group, epoch)
 }
 
-func findMap(record *fleetv1.MapRecord, epoch, digest uint64) (group.Map, bool) {
-	encoded := record.GetMap()
-	if epoch == record.GetBaseEpoch() {
-		encoded = record.GetBaseMap()
-	} else if epoch != record.GetEpoch() {
-		return group.Map{}, false
-	}
-	stored, err := mapwire.DecodeStored(encoded)
-	return stored.Map, err == nil && stored.Map.Digest() == digest
-}
-
 // wait waits for d or for ctx.
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- a/control/expertmap/counts.go
+++ b/control/expertmap/counts.go
@@ -1,6 +1,7 @@
 package expertmap
 
 import (
+	"github.com/lilackeel/lilackeel/agent/tally"
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	"github.com/lilackeel/lilackeel/group"
 )
@@ -28,6 +29,10 @@
 
 // add takes in a report that fits the shape.
 func (c counts) add(shape group.Shape, load *agentv1.ExpertLoad) {
+	if load.GetLayer() == tally.AllLayers {
+		c.addAll(shape, load)
+		return
+	}
 	rank, layer := int(load.GetRank()), int(load.GetLayer())
 	if rank < 0 || rank >= shape.Ranks || layer < 0 || layer >= shape.Layers {
 		return
@@ -43,6 +48,20 @@
 	c[rank].steps[layer] += float64(load.GetToStep() - load.GetFromStep())
 }
 
+// addAll takes in a report of all layers together.
+func (c counts) addAll(shape group.Shape, load *agentv1.ExpertLoad) {
+	if len(load.GetTokens()) != shape.Layers*shape.Experts {
+		return
+	}
+	for layer := range shape.Layers {
+		c.add(shape, &agentv1.ExpertLoad{
+			Group: load.GetGroup(), Rank: load.GetRank(), Layer: int32(layer),
+			FromStep: load.GetFromStep(), ToStep: load.GetToStep(),
+			Tokens: load.GetTokens()[layer*shape.Experts : (layer+1)*shape.Experts],
+		})
+	}
+}
+
 // mean returns the tokens that each expert handled in a step, on all ranks
 // together; it is complete when every rank has counted every layer.
 func (c counts) mean(shape group.Shape) (load []float64, complete bool) {
--- a/control/expertmap/driver.go
+++ b/control/expertmap/driver.go
@@ -56,17 +56,17 @@
 	Transport Transport
 	// Proposer may be nil: no switch then begins here.
 	Proposer Proposer
-	// Shapes of the groups. A group without one is left alone.
-	Shapes map[string]group.Shape
+	// Shapes returns the shapes of the groups. A group without one is left alone.
+	Shapes func() map[string]group.Shape
 	// ObserveEvery is the time between two observations that the Proposer wants
 	// of a group. Agents are called at least twice in that time.
-	ObserveEvery map[string]time.Duration
+	ObserveEvery func(group string) time.Duration
 	// Token is the fencing token that the log gave out for the term.
 	Token uint64
 	// LogTime returns the log time of a command proposed now, in nanoseconds.
 	LogTime func() int64
-	// Options of the coordinators.
-	Options mapswitch.Options
+	// Options returns those of a group's coordinator; nil for the defaults.
+	Options func(group string) mapswitch.Options
 	// Logger must be set.
 	Logger *slog.Logger
 }
@@ -143,7 +143,7 @@
 func (d *Driver) tick(ctx context.Context) {
 	agents := d.agents()
 	out := newOutbox(agents)
-	for name, shape := range d.cfg.Shapes {
+	for name, shape := range d.cfg.Shapes() {
 		g := d.group(name, shape)
 		if g == nil || g.fenced || !agents.complete(name, shape.Ranks) {
 			continue
@@ -164,8 +164,10 @@
 // answer.
 func (d *Driver) poll(g *groupState, shape group.Shape, out *outbox) {
 	interval := restInterval
-	if wanted := d.cfg.ObserveEvery[g.name]; wanted > 0 {
-		interval = min(interval, wanted/2)
+	if d.cfg.ObserveEvery != nil {
+		if wanted := d.cfg.ObserveEvery(g.name); wanted > 0 {
+			interval = min(interval, wanted/2)
+		}
 	}
 	if g.coordinator.Phase() != mapswitch.PhaseIdle {
 		interval = min(interval, switchInterval)
@@ -189,9 +191,13 @@
 		d.cfg.Logger.Error("the record of an expert map cannot be read", "group", name, "error", err)
 		return nil
 	}
+	var options mapswitch.Options
+	if d.cfg.Options != nil {
+		options = d.cfg.Options(name)
+	}
 	g := &groupState{
 		name:        name,
-		coordinator: mapswitch.NewCoordinator(name, shape.Ranks, d.cfg.Token, record, d.cfg.Options),
+		coordinator: mapswitch.NewCoordinator(name, shape.Ranks, d.cfg.Token, record, options),
 	}
 	d.groups[name] = g
 	return g
--- a/control/expertmap/driver_test.go
+++ b/control/expertmap/driver_test.go
@@ -163,7 +163,7 @@
 	s.mu.Unlock()
 	driver := NewDriver(Config{
 		State: s.state, Log: s, Transport: s, Proposer: shuffler{rand.New(rand.NewPCG(token, 1))},
-		Shapes: map[string]group.Shape{testGroup: testShape}, Token: token,
+		Shapes: func() map[string]group.Shape { return map[string]group.Shape{testGroup: testShape} }, Token: token,
 		LogTime: func() int64 { return 0 }, Logger: slog.New(slog.DiscardHandler),
 	})
 	go driver.Run(ctx)
--- /dev/null
+++ b/control/expertmap/following.go
@@ -0,0 +1,76 @@
+package expertmap
+
+import (
+	"log/slog"
+	"time"
+
+	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	"github.com/lilackeel/lilackeel/group"
+	"github.com/lilackeel/lilackeel/group/balance"
+)
+
+// Following proposes maps by one balance.Follower for each group whose demand
+// shifts within seconds.
+type Following struct {
+	// Config returns the settings of a group; ok is false for one that is not
+	// followed.
+	Config func(group string) (config balance.FollowConfig, ok bool)
+	// Interval is the time between two decisions.
+	Interval time.Duration
+	// Logger must be set.
+	Logger *slog.Logger
+
+	groups map[string]*followed
+}
+
+// followed is one group.
+type followed struct {
+	follower *balance.Follower
+	shape    group.Shape
+	counts   counts
+	asked    time.Duration
+}
+
+// Observe implements Proposer.
+func (f *Following) Observe(load *agentv1.ExpertLoad) {
+	if g := f.group(load.GetGroup()); g != nil {
+		g.counts.add(g.shape, load)
+	}
+}
+
+// Propose implements Proposer.
+func (f *Following) Propose(now time.Duration, name string, current group.Map) (next group.Map, ok bool) {
+	g := f.group(name)
+	if g == nil || now-g.asked < f.Interval {
+		return group.Map{}, false
+	}
+	load, complete := g.counts.mean(g.shape)
+	if !complete {
+		return group.Map{}, false
+	}
+	g.asked = now
+	g.counts = newCounts(g.shape)
+	g.follower.Observe(load)
+	decision := g.follower.Decide(current)
+	f.Logger.Info("weighed an expert map", slog.String("group", name), slog.Bool("switch", decision.Switch),
+		slog.Float64("skew", g.follower.Skew(current)), slog.Float64("saving", decision.Saving), slog.Int("moves", decision.Moves),
+		slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost))
+	return decision.Map, decision.Switch
+}
+
+// group returns the follower of a group, made at the first look.
+func (f *Following) group(name string) *followed {
+	if g := f.groups[name]; g != nil {
+		return g
+	}
+	config, ok := f.Config(name)
+	if !ok {
+		return nil
+	}
+	if f.groups == nil {
+		f.groups = map[string]*followed{}
+	}
+	g := &followed{follower: balance.NewFollower(config), shape: config.Shape, counts: newCounts(config.Shape)}
+	f.groups[name] = g
+	return g
+}
--- a/control/maps.go
+++ b/control/maps.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/control/expertmap"
+	"github.com/lilackeel/lilackeel/group"
 	"github.com/lilackeel/lilackeel/link"
 )
 
@@ -21,27 +23,30 @@
 	logger *slog.Logger
 }
 
-// drive runs until ctx ends.
+// drive runs until ctx ends: one driver for the groups of the file, and one for
+// those that their ranks announce.
 func (m *mapper) drive(ctx context.Context, l *leadership) {
-	if len(m.groups.Shapes) == 0 {
-		return
+	var drivers sync.WaitGroup
+	drivers.Go(func() { expertmap.NewDriver(m.formationsConfig(l)).Run(ctx) })
+	if len(m.groups.Shapes) > 0 {
+		drivers.Go(func() { expertmap.NewDriver(m.statedConfig(l)).Run(ctx) })
 	}
-	intervals := make(map[string]time.Duration)
-	for name, config := range m.groups.Configs {
-		intervals[name] = config.Interval
-	}
-	driver := expertmap.NewDriver(expertmap.Config{
+	drivers.Wait()
+}
+
+// statedConfig sets up the driver of the groups of the file in one term.
+func (m *mapper) statedConfig(l *leadership) expertmap.Config {
+	return expertmap.Config{
 		State:        m.state,
 		Log:          m.log,
 		Transport:    agentTransport{m.pool},
 		Proposer:     &expertmap.Balancing{Configs: m.groups.Configs, Policy: m.policy, Logger: m.logger},
-		Shapes:       m.groups.Shapes,
-		ObserveEvery: intervals,
+		Shapes:       func() map[string]group.Shape { return m.groups.Shapes },
+		ObserveEvery: func(name string) time.Duration { return m.groups.Configs[name].Interval },
 		Token:        l.fence,
 		LogTime:      l.logTime,
 		Logger:       m.logger,
-	})
-	driver.Run(ctx)
+	}
 }
 
 // policy returns the accepted policy of a group, or nil.
--- a/endpoint/endpoint.go
+++ b/endpoint/endpoint.go
@@ -60,6 +60,10 @@
 	return fmt.Sprintf("State(%d)", int(s))
 }
 
+// RoleRank is the role of a record that says where a rank's expert maps are looked
+// after. It takes no calls; its engine has a record of its own.
+const RoleRank = "rank"
+
 // Endpoint is one back end as the configuration and its announcement describe it.
 type Endpoint struct {
 	// ID is unique in the fleet.
--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -24,6 +24,8 @@
 	serving map[Key][]*Endpoint
 	pools   map[string]int
 	models  map[Key]int
+	// byAddr holds the serving endpoints that are called directly.
+	byAddr map[string]*Endpoint
 }
 
 // change maps an id to its next record, or to nil when it is removed.
@@ -47,6 +49,13 @@
 	return e, ok
 }
 
+// At returns the endpoint that is called directly at an address and takes new
+// work; of several the one whose record changed last.
+func (v *View) At(addr string) (*Endpoint, bool) {
+	e, ok := v.byAddr[addr]
+	return e, ok
+}
+
 // All returns every endpoint in any state, ordered by id.
 func (v *View) All() []*Endpoint {
 	all := slices.Collect(maps.Values(v.byID))
@@ -97,6 +106,7 @@
 		serving: maps.Clone(v.serving),
 		pools:   maps.Clone(v.pools),
 		models:  maps.Clone(v.models),
+		byAddr:  v.byAddr,
 	}
 	added := map[Key][]*Endpoint{}
 	touched := map[Key]bool{}
@@ -112,9 +122,31 @@
 	for key := range touched {
 		next.rebuild(key, c, added[key])
 	}
+	next.indexAddrs(c)
 	return next
 }
 
+// indexAddrs finds the endpoints that are called directly anew if the change
+// touches one. Of two at an address, the one announced last is there now.
+func (v *View) indexAddrs(c change) {
+	touched := false
+	for id, e := range c {
+		touched = touched || e != nil && e.Addr != "" || v.byID[id] == nil
+	}
+	if !touched {
+		return
+	}
+	v.byAddr = map[string]*Endpoint{}
+	for _, e := range v.byID {
+		if e.Addr == "" || e.State != Serving {
+			continue
+		}
+		if held := v.byAddr[e.Addr]; held == nil || e.Revision > held.Revision {
+			v.byAddr[e.Addr] = e
+		}
+	}
+}
+
 // forget takes the old record out of the counts and marks its lists.
 func (v *View) forget(old *Endpoint, touched map[Key]bool) {
 	decrement(v.pools, old.Pool)
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -39,7 +39,9 @@
 	}
 	upserts := make([]endpoint.Endpoint, 0, len(delta.GetEndpoints()))
 	for _, e := range delta.GetEndpoints() {
-		upserts = append(upserts, endpointOf(e))
+		if e.GetRole() != endpoint.RoleRank {
+			upserts = append(upserts, endpointOf(e))
+		}
 	}
 	c.table.Apply(upserts, delta.GetRemovedEndpoints())
 	for _, id := range delta.GetRemovedEndpoints() {
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -19,7 +19,7 @@
 	now := received.Sub(processStart)
 	view := p.table.Snapshot()
 	for _, l := range r.GetLoads() {
-		if e, known := view.Get(l.GetEndpoint()); known {
+		if e, known := reporter(view, l.GetEndpoint()); known {
 			p.takeLoad(now, e, l)
 		}
 	}
@@ -30,6 +30,15 @@
 	}
 }
 
+// reporter finds the endpoint of a report, which names it by its id or by its own
+// address.
+func reporter(view *endpoint.View, name string) (*endpoint.Endpoint, bool) {
+	if e, known := view.Get(name); known {
+		return e, true
+	}
+	return view.At(name)
+}
+
 // takeLoad feeds the tracker and the detector. The detector hears of endpoints
 // without a step time as well: how many may be out depends on how many there are,
 // also of those that get no calls now.
--- a/group/balance/improve.go
+++ b/group/balance/improve.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		load := l.rank[target] + (after-l.share(old))*l.cost[target]
-		if load >= l.rank[rank] || l.holds(target, expert) {
+		if load >= l.rank[rank] || l.holds(target, expert) || !l.mayHost(target, expert) {
 			continue
 		}
 		peak := max(eased, load, second)
@@ -125,6 +125,9 @@
 		if load >= l.rank[rank] || l.holds(rank, back) || l.holds(target, expert) {
 			continue
 		}
+		if !l.mayHost(rank, back) || !l.mayHost(target, expert) {
+			continue
+		}
 		eased := l.rank[rank] - difference*l.cost[rank]
 		consider(change{slot: slot, other: other, expert: back, swap: true, moves: 2, peak: max(eased, load, second)})
 	}
@@ -147,6 +150,18 @@
 	return 0
 }
 
+// ImproveWithin returns the map that the best single moves lead to, each rank
+// taking at most spare experts of a layer that it does not hold.
+func ImproveWithin(shape group.Shape, m group.Map, load, cost []float64, spare int) group.Map {
+	m = m.Clone()
+	for n := range shape.Layers {
+		l := newLayer(shape, m.Layer(n), load[n*shape.Experts:(n+1)*shape.Experts], cost)
+		l.bound(spare)
+		improveLayer(l, 0, shape.SlotsPerLayer())
+	}
+	return m
+}
+
 // Improve returns the map that the best single moves lead to, at most the given
 // number of them, without regard to what they cost.
 func Improve(shape group.Shape, m group.Map, load, cost []float64, moves int) group.Map {
--- a/group/balance/layer.go
+++ b/group/balance/layer.go
@@ -16,6 +16,30 @@
 	replicas []int
 	hosts    [][]int   // the ranks that hold each expert
 	rank     []float64 // cost-weighted load of each rank
+	// base are the slots before any change, and room how many experts that base
+	// does not have each rank may still take; both nil for no such bound.
+	base []uint16
+	room []int
+}
+
+// bound lets each rank take at most the given number of experts that it does not
+// hold now.
+func (l *layer) bound(spare int) {
+	l.base = slices.Clone(l.slots)
+	l.room = make([]int, l.shape.Ranks)
+	for rank := range l.room {
+		l.room[rank] = spare
+	}
+}
+
+// isNew reports whether a rank would have to load an expert.
+func (l *layer) isNew(rank int, expert uint16) bool {
+	return expert != group.Empty && !slices.Contains(l.base[rank*l.shape.Slots:(rank+1)*l.shape.Slots], expert)
+}
+
+// mayHost reports whether a rank may take an expert within its bound.
+func (l *layer) mayHost(rank int, expert uint16) bool {
+	return l.room == nil || l.room[rank] > 0 || !l.isNew(rank, expert)
 }
 
 func newLayer(shape group.Shape, slots []uint16, load, cost []float64) *layer {
@@ -78,6 +102,12 @@
 	rank := slot / l.shape.Slots
 	old := l.slots[slot]
 	l.slots[slot] = expert
+	if l.room != nil && l.isNew(rank, old) {
+		l.room[rank]++
+	}
+	if l.room != nil && l.isNew(rank, expert) {
+		l.room[rank]--
+	}
 	l.leave(old, rank)
 	l.join(expert, rank)
 	l.refresh(old)
--- a/group/mapswitch/rank.go
+++ b/group/mapswitch/rank.go
@@ -75,6 +75,15 @@
 	return r.record.EpochAt(step), true
 }
 
+// Allowed is MayRun without the engine asking: whether it may begin the step, as
+// far as is known now, and with the map of which epoch.
+func (r *Rank) Allowed(step uint64) (epoch uint64, ok bool) {
+	if !r.allowed(step) {
+		return 0, false
+	}
+	return r.record.EpochAt(step), true
+}
+
 func (r *Rank) allowed(step uint64) bool {
 	if !r.read {
 		return false
--- a/group/mapwire/stored.go
+++ b/group/mapwire/stored.go
@@ -136,3 +136,15 @@
 	}
 	return r, nil
 }
+
+// FindMap returns the map of an epoch, of the given digest, that a record holds.
+func FindMap(record *fleetv1.MapRecord, epoch, digest uint64) (group.Map, bool) {
+	encoded := record.GetMap()
+	if epoch == record.GetBaseEpoch() {
+		encoded = record.GetBaseMap()
+	} else if epoch != record.GetEpoch() {
+		return group.Map{}, false
+	}
+	stored, err := DecodeStored(encoded)
+	return stored.Map, err == nil && stored.Map.Digest() == digest
+}
--- /dev/null
+++ b/rankhost/daemon.go
@@ -0,0 +1,148 @@
+package rankhost
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/grpc"
+
+	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/link/replicas"
+	"github.com/lilackeel/lilackeel/telemetry"
+)
+
+const (
+	// defaultReport is the time between two reports of a reader that states none.
+	defaultReport = 250 * time.Millisecond
+	// leastReport is the shortest such time.
+	leastReport = 20 * time.Millisecond
+)
+
+// Daemon serves one rank.
+type Daemon struct {
+	settings  *Settings
+	logger    *slog.Logger
+	ready     *telemetry.Ready
+	host      *Host
+	announcer *announcer
+	server    *grpc.Server
+	pool      *link.Pool
+	listener  net.Listener
+}
+
+// New assembles a daemon, which does nothing before Run.
+func New(settings *Settings, engine Engine, logger *slog.Logger) (*Daemon, error) {
+	dial, err := link.DialOptions(settings.Link)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	options, err := link.ServerOptions(settings.Link)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	listener, err := link.Listen(context.Background(), settings.Listen)
+	if err != nil {
+		return nil, trace.Wrap(err, "cannot listen on %s; choose a free address with -listen", settings.Listen)
+	}
+	pool := link.NewPool(dial...)
+	finder := replicas.New(pool, settings.Control)
+	host := NewHost(Config{
+		Engine: engine, Control: recordReader{finder}, Logger: logger,
+		PollInterval: settings.PollInterval, CountInterval: settings.CountInterval,
+	})
+	server := grpc.NewServer(options...)
+	agentv1.RegisterAgentServer(server, &service{host: host, endpoint: settings.Endpoint})
+	return &Daemon{
+		settings: settings, logger: logger, ready: telemetry.NewReady(), host: host, server: server, pool: pool, listener: listener,
+		announcer: &announcer{settings: settings, host: host, finder: finder, logger: logger, incarnation: rand.Uint64() | 1},
+	}, nil
+}
+
+// Ready says whether the daemon serves.
+func (d *Daemon) Ready() *telemetry.Ready { return d.ready }
+
+// Reload puts other control replicas in force.
+func (d *Daemon) Reload(fresh *Settings) { d.announcer.finder.SetAddrs(fresh.Control) }
+
+// Run serves until ctx ends. It carries nothing of any request, so that it ends
+// at once; a switch that it takes part in waits for the next process.
+func (d *Daemon) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { d.host.Run(ctx) })
+	group.Go(func() { d.announcer.run(ctx) })
+	served := make(chan error, 1)
+	go func() { served <- d.server.Serve(d.listener) }()
+	d.ready.Set(true, "")
+	d.logger.Info("serving", slog.String("listen", d.listener.Addr().String()), slog.String("endpoint", d.settings.Endpoint))
+	<-ctx.Done()
+	d.ready.Set(false, "stopping")
+	d.server.Stop()
+	group.Wait()
+	return trace.NewAggregate(<-served, d.pool.Close())
+}
+
+// recordReader reads the records of expert maps. It is a Control.
+type recordReader struct{ finder *replicas.Finder }
+
+// ReadMap implements Control.
+func (r recordReader) ReadMap(ctx context.Context, group string) (record *fleetv1.MapRecord, fence uint64, err error) {
+	err = r.finder.Ask(ctx, func(ctx context.Context, client controlv1.ControlClient) error {
+		response, err := client.ReadMap(ctx, &controlv1.ReadMapRequest{Group: group})
+		record, fence = response.GetRecord(), response.GetFence()
+		return err
+	})
+	return record, fence, err
+}
+
+// service is the part of the Agent service that a rank needs.
+type service struct {
+	agentv1.UnimplementedAgentServer
+	host     *Host
+	endpoint string
+}
+
+// Group implements agentv1.AgentServer.
+func (s *service) Group(ctx context.Context, r *agentv1.GroupRequest) (*agentv1.GroupResponse, error) {
+	return s.host.Group(ctx, r)
+}
+
+// Reports implements agentv1.AgentServer: it sends the engine's load whenever it
+// has changed. The endpoint is named by its address.
+func (s *service) Reports(r *agentv1.ReportsRequest, stream grpc.ServerStreamingServer[agentv1.Report]) error {
+	interval := defaultReport
+	if asked := r.GetIntervalMs(); asked > 0 {
+		interval = max(time.Duration(asked)*time.Millisecond, leastReport)
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	var sent Status
+	for first := true; ; first = false {
+		status, at, ok := s.host.Status()
+		if ok && (first || status.Running != sent.Running || status.Waiting != sent.Waiting || status.Open != sent.Open) {
+			sent = status
+			if err := stream.Send(s.report(status, at)); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-stream.Context().Done():
+			return stream.Context().Err()
+		}
+	}
+}
+
+func (s *service) report(status Status, at time.Time) *agentv1.Report {
+	return &agentv1.Report{Loads: []*agentv1.LoadReport{{
+		Endpoint: s.endpoint, Running: int32(status.Running), Waiting: int32(status.Waiting),
+		AgeMs: time.Since(at).Milliseconds(),
+	}}}
+}
--- /dev/null
+++ b/rankhost/host.go
@@ -0,0 +1,375 @@
+package rankhost
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/lilackeel/lilackeel/agent/engineapi"
+	"github.com/lilackeel/lilackeel/agent/tally"
+	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/group/mapswitch"
+	"github.com/lilackeel/lilackeel/group/mapwire"
+)
+
+const (
+	// busyPoll is the time between two looks at the engine during a switch, of
+	// which each costs the group nothing.
+	busyPoll = 15 * time.Millisecond
+	// orderTimeout bounds the wait for an engine's answer to an order; its status
+	// tells the rest.
+	orderTimeout = 250 * time.Millisecond
+	// statusTimeout bounds one look at the engine.
+	statusTimeout = time.Second
+	// prepareRetry is the pause between two orders to prepare a map, which takes
+	// many looks.
+	prepareRetry = 300 * time.Millisecond
+	// slowOrder is the pause after an order that changed nothing.
+	slowOrder = 50 * time.Millisecond
+)
+
+// Control reads from a quorum of control replicas.
+type Control interface {
+	// ReadMap returns the record of a group and the fencing token of the
+	// coordinator that wrote it last, linearizably.
+	ReadMap(ctx context.Context, group string) (record *fleetv1.MapRecord, fence uint64, err error)
+}
+
+// Config sets up a Host.
+type Config struct {
+	// Engine is the engine, Control reads the decided records.
+	Engine  Engine
+	Control Control
+	// PollInterval is the time between two looks at the engine at rest,
+	// CountInterval that between two readings of what its experts were chosen for.
+	PollInterval, CountInterval time.Duration
+	Logger                      *slog.Logger
+}
+
+// Host drives the Holder of one engine.
+type Host struct {
+	cfg     Config
+	started time.Time
+	wake    chan struct{}
+
+	mu     sync.Mutex
+	status Status
+	// statusAt is when the status was read; zero while the engine cannot be read.
+	statusAt time.Time
+	holder   *Holder
+	counts   tally.Tally
+	// outbox holds the newest message of each kind for the coordinator.
+	outbox map[mapswitch.Kind]mapswitch.Message
+	// reading is set while the record is read, and fetching while a map is.
+	reading, fetching bool
+	// last is the last order given, and when.
+	last   Order
+	lastAt time.Time
+	// changed closes when what is announced of the rank has changed.
+	changed chan struct{}
+}
+
+// NewHost returns a host, which does nothing before Run.
+func NewHost(cfg Config) *Host {
+	return &Host{
+		cfg: cfg, started: time.Now(), wake: make(chan struct{}, 1),
+		outbox: map[mapswitch.Kind]mapswitch.Message{}, changed: make(chan struct{}),
+	}
+}
+
+// Run drives until ctx ends.
+func (h *Host) Run(ctx context.Context) {
+	var group sync.WaitGroup
+	group.Go(func() { h.countLoop(ctx) })
+	for ctx.Err() == nil {
+		pause := h.look(ctx)
+		h.sleep(ctx, pause)
+	}
+	group.Wait()
+}
+
+func (h *Host) now() time.Duration { return time.Since(h.started) }
+
+// sleep waits for d, a wake-up, or ctx.
+func (h *Host) sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-h.wake:
+	case <-ctx.Done():
+	}
+}
+
+func (h *Host) wakeUp() {
+	select {
+	case h.wake <- struct{}{}:
+	default:
+	}
+}
+
+// look reads the engine, gives it the order that is due, and returns the pause
+// until the next look.
+func (h *Host) look(ctx context.Context) time.Duration {
+	if err := h.read(ctx); err != nil {
+		h.lost(err)
+		return h.cfg.PollInterval
+	}
+	order, ok := h.next()
+	if !ok {
+		return h.rest()
+	}
+	limited, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	err := h.cfg.Engine.Give(limited, order)
+	h.cfg.Logger.Info("gave an order to the engine", slog.String("order", order.Kind.String()),
+		slog.Uint64("version", order.Version), slog.Uint64("step", order.Step), slog.Uint64("formation", order.Formation), slog.Any("error", err))
+	if err != nil {
+		return slowOrder
+	}
+	return 0
+}
+
+// read takes in the engine's status.
+func (h *Host) read(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	asked := time.Now()
+	status, err := h.cfg.Engine.Status(limited)
+	if err != nil {
+		return err
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.note(status, asked)
+	if h.holder != nil {
+		h.emit(ctx, h.holder.Observe(h.now(), status))
+	}
+	return nil
+}
+
+// note keeps a status; the lock is held. A new formation gets a new holder.
+func (h *Host) note(status Status, at time.Time) {
+	before := h.status
+	h.status, h.statusAt = status, at
+	same := h.holder != nil && before.Group == status.Group && before.Formation == status.Formation && before.Rank == status.Rank
+	if same && before.Open == status.Open {
+		return
+	}
+	if !same {
+		h.holder = nil
+		if status.Group != "" {
+			h.holder = NewHolder(status, rand.Uint64()|1)
+			clear(h.outbox)
+			h.counts = tally.Tally{}
+		}
+	}
+	h.cfg.Logger.Info("the engine's group", slog.String("group", status.Group), slog.Uint64("formation", status.Formation),
+		slog.Int("rank", status.Rank), slog.Int("size", status.Size), slog.Bool("open", status.Open))
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// lost notes that the engine cannot be read.
+func (h *Host) lost(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.statusAt.IsZero() {
+		return
+	}
+	h.cfg.Logger.Warn("the engine cannot be read", slog.Any("error", err))
+	h.statusAt = time.Time{}
+	h.status = Status{}
+	h.holder = nil
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// next returns the order that is due, not the same one again at once.
+func (h *Host) next() (Order, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.holder == nil {
+		return Order{}, false
+	}
+	order, ok := h.holder.Next()
+	if !ok {
+		return Order{}, false
+	}
+	repeated := order.Kind == h.last.Kind && order.Version == h.last.Version && order.Step == h.last.Step && order.Formation == h.last.Formation
+	if repeated && time.Since(h.lastAt) < repeatAfter(order.Kind) {
+		return Order{}, false
+	}
+	h.last, h.lastAt = order, time.Now()
+	return order, true
+}
+
+func repeatAfter(kind OrderKind) time.Duration {
+	if kind == Prepare {
+		return prepareRetry
+	}
+	return busyPoll
+}
+
+// rest is the pause until the next look when no order is due.
+func (h *Host) rest() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.holder != nil && h.holder.Busy() {
+		return busyPoll
+	}
+	return h.cfg.PollInterval
+}
+
+// Group hands the coordinator's messages to the rank and returns its answers and
+// what else it has for the coordinator.
+func (h *Host) Group(ctx context.Context, request *agentv1.GroupRequest) (*agentv1.GroupResponse, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	response := &agentv1.GroupResponse{}
+	if h.holder == nil {
+		return response, nil
+	}
+	for _, message := range request.GetMessages() {
+		m, err := mapwire.FromProto(message)
+		if err != nil {
+			return nil, err
+		}
+		if m.Kind.Destination() == mapswitch.ToRank {
+			h.emit(context.WithoutCancel(ctx), h.holder.Step(h.now(), m))
+		}
+	}
+	if len(request.GetMessages()) > 0 {
+		h.wakeUp()
+	}
+	for kind, m := range h.outbox {
+		response.Messages = append(response.Messages, mapwire.ToProto(m))
+		delete(h.outbox, kind)
+	}
+	response.Loads = h.counts.Take(h.holder.Group(), h.holder.number)
+	for _, load := range response.Loads {
+		load.Layer = tally.AllLayers
+	}
+	return response, nil
+}
+
+// emit passes on what the holder asks for; the lock is held.
+func (h *Host) emit(ctx context.Context, messages []mapswitch.Message) {
+	for _, m := range messages {
+		switch m.Kind.Destination() {
+		case mapswitch.ToCoordinator:
+			h.outbox[m.Kind] = m
+		case mapswitch.ToControl:
+			h.readRecord(ctx, m)
+		}
+	}
+	if epoch, digest, ok := h.holder.Needs(); ok {
+		h.fetchMap(ctx, epoch, digest)
+	}
+}
+
+// readRecord reads the group's record for the holder, one reading at a time; the
+// lock is held.
+func (h *Host) readRecord(ctx context.Context, m mapswitch.Message) {
+	if h.reading {
+		return
+	}
+	h.reading = true
+	holder := h.holder
+	go func() {
+		stored, fence, err := h.cfg.Control.ReadMap(ctx, m.Group)
+		record, malformed := mapwire.RecordOf(stored, fence)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.reading = false
+		if err != nil || malformed != nil {
+			h.cfg.Logger.Debug("cannot read the record of an expert map", slog.Any("error", err), slog.Any("malformed", malformed))
+			return
+		}
+		if h.holder == holder {
+			h.emit(ctx, holder.Step(h.now(), mapswitch.Answer(m, record, true)))
+			h.wakeUp()
+		}
+	}()
+}
+
+// fetchMap reads a map that has to be prepared; the lock is held.
+func (h *Host) fetchMap(ctx context.Context, epoch, digest uint64) {
+	if h.fetching {
+		return
+	}
+	h.fetching = true
+	holder := h.holder
+	go func() {
+		stored, _, err := h.cfg.Control.ReadMap(ctx, holder.Group())
+		found, ok := mapwire.FindMap(stored, epoch, digest)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.fetching = false
+		if err != nil || !ok {
+			h.cfg.Logger.Info("cannot read an expert map yet", slog.Uint64("epoch", epoch), slog.Any("error", err))
+			return
+		}
+		holder.Fetched(epoch, found)
+		h.wakeUp()
+	}()
+}
+
+// countLoop reads what the rank's requests have chosen until ctx ends.
+func (h *Host) countLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		timer := time.NewTimer(h.cfg.CountInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+		h.count(ctx)
+	}
+}
+
+func (h *Host) count(ctx context.Context) {
+	h.mu.Lock()
+	holder := h.holder
+	h.mu.Unlock()
+	if holder == nil {
+		return
+	}
+	limited, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	counts, err := h.cfg.Engine.Counts(limited)
+	if err != nil {
+		h.cfg.Logger.Debug("cannot read the experts' counts", slog.Any("error", err))
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.holder == holder && counts.Formation == holder.formation {
+		h.counts.Read(counts.experts(holder.group))
+	}
+}
+
+// experts returns the counts as a tally takes them, with all layers as one: the
+// engine does not say how many experts a layer has.
+func (c Counts) experts(group string) engineapi.Experts {
+	return engineapi.Experts{Run: group, Steps: c.Step, Tokens: [][]uint64{c.Chosen}}
+}
+
+// Status returns the engine's status and when it was read; ok is false while the
+// engine cannot be read.
+func (h *Host) Status() (s Status, at time.Time, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.status, h.statusAt, !h.statusAt.IsZero()
+}
+
+// Changed returns a channel that closes when the rank's group has changed.
+func (h *Host) Changed() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
--- /dev/null
+++ b/rankhost/settings.go
@@ -0,0 +1,55 @@
+package rankhost
+
+import (
+	"time"
+
+	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/setting"
+	"github.com/lilackeel/lilackeel/telemetry"
+)
+
+// Settings are the checked settings of the daemon.
+type Settings struct {
+	// Name names the daemon uniquely in the fleet; Zone is its availability zone.
+	Name, Zone string
+	// Listen is the address at which control replicas and entries reach it.
+	Listen string
+	// Control are the control replicas.
+	Control []string
+	// Endpoint is the engine's own address, Pool the pool that it belongs to.
+	Endpoint, Pool string
+	// PollInterval is the time between two looks at the engine at rest,
+	// CountInterval that between two readings of its experts' counts.
+	PollInterval, CountInterval time.Duration
+	// HeartbeatInterval is the time between two announcements.
+	HeartbeatInterval time.Duration
+	// Link secures the connections, Telemetry sets up logs, metrics and traces.
+	Link      link.Config
+	Telemetry telemetry.Config
+}
+
+// defaultAdminListen differs from the other daemons' so that all can share a
+// host.
+const defaultAdminListen = "127.0.0.1:9094"
+
+// Register registers the settings with their defaults and checks.
+func (s *Settings) Register(set *setting.Set) {
+	millisecond := setting.Min(time.Millisecond)
+	set.String(&s.Name, "name", "", "name of this daemon, unique in the fleet", setting.Required, setting.Name)
+	set.String(&s.Zone, "zone", "", "availability zone of the host", setting.Required, setting.Name)
+	set.String(&s.Listen, "listen", "127.0.0.1:7400", "address for control replicas and entries", setting.Required, setting.HostPort)
+	set.List(&s.Control, "control", nil, "control replicas", setting.Required, setting.HostPort)
+	set.String(&s.Endpoint, "endpoint", "", "the engine's own address", setting.Required, setting.HostPort)
+	set.String(&s.Pool, "pool", "", "pool that the engine belongs to", setting.Required, setting.Name)
+	set.Duration(&s.PollInterval, "poll-interval", 100*time.Millisecond, "time between two looks at the engine at rest", millisecond)
+	set.Duration(&s.CountInterval, "count-interval", 500*time.Millisecond, "time between two readings of the experts' counts", millisecond)
+	set.Duration(&s.HeartbeatInterval, "heartbeat-interval", time.Second, "time between two announcements", millisecond)
+	s.Telemetry.AdminListen = defaultAdminListen
+	link.Settings(set, &s.Link)
+	telemetry.Settings(set, &s.Telemetry)
+	set.Check(func() error { return s.Link.CheckListen(s.Listen) })
+	set.Check(func() error {
+		s.Telemetry.Host = s.Name
+		return nil
+	})
+}
