Follow jumps of demand by small switches, told apart from noise

Cause: demand over experts is constant for about 3.4 s and then jumps; counts of one switch's length mixed both sides of a jump, and a switch copied eight experts a rank (0.9 s), so that the map in force was always that of the demand before.

Ruled out: smoothing (0.05 to 0.35: 2.77 to 2.90 times the mean, no change).

Change: balance.Follower acts on two observations alike, never on the mixture; a rank takes three experts a switch over all layers, the next switch the rest; counts every 150 ms, the switch two steps ahead.

--- a/control/expertmap/following.go
+++ b/control/expertmap/following.go
@@ -52,10 +52,13 @@
 	g.counts = newCounts(g.shape)
 	g.follower.Observe(load)
 	decision := g.follower.Decide(current)
-	f.Logger.Info("weighed an expert map", slog.String("group", name), slog.Bool("switch", decision.Switch),
-		slog.Float64("skew", g.follower.Skew(current)), slog.Float64("saving", decision.Saving), slog.Int("moves", decision.Moves),
-		slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost))
-	return decision.Map, decision.Switch
+	if !decision.Switch {
+		return group.Map{}, false
+	}
+	f.Logger.Info("switching an expert map", slog.String("group", name),
+		slog.Float64("skew", g.follower.Skew(current)), slog.Float64("expected", g.follower.Skew(decision.Map)), slog.Int("moves", decision.Moves),
+		slog.Float64("saving", decision.Saving), slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost))
+	return decision.Map, true
 }
 
 // group returns the follower of a group, made at the first look.
--- a/control/formations.go
+++ b/control/formations.go
@@ -15,14 +15,20 @@
 // milliseconds.
 const (
 	// followInterval is the time between two looks at their demand.
-	followInterval = 500 * time.Millisecond
+	followInterval = 150 * time.Millisecond
 	// followHold is how long their demand is expected to stay as it is.
-	followHold = 5 * time.Second
+	followHold = 2 * time.Second
 	// followStall is what a switch costs beside the copies: some ranks may have to
 	// wait a moment for others.
 	followStall = 30 * time.Millisecond
-	// followSmoothing is the weight of the newest half second of demand.
-	followSmoothing = 0.6
+	// followSmoothing is the weight of the newest observation of demand.
+	followSmoothing = 0.3
+	// followJump is the distance between two distributions of demand from which on
+	// they are different: jumps measured move 0.2 to 0.5, noise 0.05.
+	followJump = 0.12
+	// followCopies is the number of experts that a rank copies for one switch, a
+	// third of a second; what is left is for the next one.
+	followCopies = 3
 	// copySeconds is the time to copy one expert between ranks, and copySlow the
 	// part by which steps take longer meanwhile.
 	copySeconds = 0.11
@@ -31,7 +37,7 @@
 	// time for experts.
 	fixedShare = 0.6
 	// leadSteps is the number of steps from the furthest rank to the switch.
-	leadSteps = 5
+	leadSteps = 2
 	// promiseWindow is the time in which all ranks have to hold the step of the
 	// switch, and prepareTimeout that in which they copy the experts.
 	promiseWindow  = 400 * time.Millisecond
@@ -79,8 +85,8 @@
 		return balance.FollowConfig{}, false
 	}
 	return balance.FollowConfig{
-		Shape: shape, Spare: max(f.spare[name], 1), Fixed: fixedShare, CopySeconds: copySeconds, CopySlow: copySlow,
-		StallSeconds: followStall.Seconds(), HoldSeconds: followHold.Seconds(), Smoothing: followSmoothing,
+		Shape: shape, Reach: balance.Reach{Spare: max(f.spare[name], 1), Copies: followCopies}, Fixed: fixedShare, CopySeconds: copySeconds, CopySlow: copySlow,
+		StallSeconds: followStall.Seconds(), HoldSeconds: followHold.Seconds(), Smoothing: followSmoothing, Jump: followJump,
 	}, true
 }
 
--- a/group/balance/follow.go
+++ b/group/balance/follow.go
@@ -1,16 +1,19 @@
 package balance
 
-import "github.com/lilackeel/lilackeel/group"
+import (
+	"math"
 
-// FollowConfig describes a group whose demand shifts within seconds, and whose
-// experts are copied from rank to rank in fractions of one: a switch has to pay
-// within the time that demand stays as it is.
+	"github.com/lilackeel/lilackeel/group"
+)
+
+// FollowConfig describes a group whose demand jumps every few seconds and stays
+// as it is between two jumps, and whose experts are copied from rank to rank in
+// fractions of a second: a switch has to pay before the next jump.
 type FollowConfig struct {
 	// Shape is the group's shape.
 	Shape group.Shape
-	// Spare is the number of experts of a layer that one switch may bring to a
-	// rank.
-	Spare int
+	// Reach bounds what one switch may bring to a rank.
+	Reach Reach
 	// Fixed is the part of a step, relative to the mean time that a rank spends on
 	// experts, that no map changes.
 	Fixed float64
@@ -19,25 +22,40 @@
 	CopySeconds, CopySlow float64
 	// StallSeconds is what a switch costs besides.
 	StallSeconds float64
-	// HoldSeconds is how long demand is expected to stay as it is.
+	// HoldSeconds is how long a new map is expected to be of use.
 	HoldSeconds float64
-	// Smoothing is the weight of the newest observation, above 0 and at most 1.
+	// Smoothing is the weight of the newest observation while demand stays, above
+	// 0 and at most 1.
 	Smoothing float64
+	// Jump is the distance between two distributions, 0 to 1, from which on one is
+	// another demand and not the noise of the same.
+	Jump float64
 }
 
-// Follower decides when to switch the map of a group whose demand shifts within
-// seconds. It takes the latest demand at little less than its word: the counts of
-// half a second are far above their noise, and what they show is gone soon.
+// Follower decides when to switch the map of a group whose demand jumps. It is
+// not safe for concurrent use.
 type Follower struct {
 	config FollowConfig
+	layers []demand
 	load   []float64
-	seen   bool
 	cost   []float64
 }
 
+// demand is what is known of the demand in one layer: the estimate, and after a
+// jump the observation that may be the first of the next demand. An observation
+// in which the jump falls is a mixture of both; only two alike count.
+type demand struct {
+	estimate, candidate []float64
+	settled             bool
+}
+
 // NewFollower returns a follower that has seen nothing.
 func NewFollower(config FollowConfig) *Follower {
-	f := &Follower{config: config, load: make([]float64, config.Shape.Layers*config.Shape.Experts), cost: make([]float64, config.Shape.Ranks)}
+	shape := config.Shape
+	f := &Follower{
+		config: config, layers: make([]demand, shape.Layers),
+		load: make([]float64, shape.Layers*shape.Experts), cost: make([]float64, shape.Ranks),
+	}
 	for rank := range f.cost {
 		f.cost[rank] = 1
 	}
@@ -46,23 +64,77 @@
 
 // Observe takes in the tokens per step of every expert, by layer.
 func (f *Follower) Observe(load []float64) {
-	weight := f.config.Smoothing
-	if !f.seen {
-		weight = 1
+	experts := f.config.Shape.Experts
+	for n := range f.layers {
+		f.layers[n].observe(load[n*experts:(n+1)*experts], &f.config)
+		copy(f.load[n*experts:(n+1)*experts], f.layers[n].estimate)
 	}
-	f.seen = true
-	for i := range f.load {
-		f.load[i] += weight * (load[i] - f.load[i])
+}
+
+func (d *demand) observe(load []float64, config *FollowConfig) {
+	share := shares(load)
+	switch {
+	case share == nil:
+		return
+	case d.estimate != nil && distance(share, d.estimate) < config.Jump:
+		for i := range d.estimate {
+			d.estimate[i] += config.Smoothing * (share[i] - d.estimate[i])
+		}
+		d.candidate, d.settled = nil, true
+	case d.candidate != nil && distance(share, d.candidate) < config.Jump:
+		d.estimate, d.candidate, d.settled = share, nil, true
+	default:
+		d.candidate, d.settled = share, false
+		if d.estimate == nil {
+			d.estimate = share
+		}
+	}
+}
+
+// shares returns a load as parts of its sum, nil if there is none.
+func shares(load []float64) []float64 {
+	var sum float64
+	for _, tokens := range load {
+		sum += tokens
+	}
+	if sum <= 0 {
+		return nil
+	}
+	share := make([]float64, len(load))
+	for i, tokens := range load {
+		share[i] = tokens / sum
+	}
+	return share
+}
+
+// distance is the part of one distribution that would have to move to make it the
+// other.
+func distance(a, b []float64) float64 {
+	var sum float64
+	for i := range a {
+		sum += math.Abs(a[i] - b[i])
+	}
+	return sum / 2
+}
+
+// Settled reports whether no layer is in the middle of a jump.
+func (f *Follower) Settled() bool {
+	for n := range f.layers {
+		if !f.layers[n].settled {
+			return false
+		}
 	}
+	return true
 }
 
-// Decide weighs the best map within reach against the present one.
+// Decide weighs the best map within reach against the present one. In the middle
+// of a jump it proposes nothing: the next observation tells.
 func (f *Follower) Decide(current group.Map) Decision {
-	if !f.seen {
+	if !f.Settled() {
 		return Decision{}
 	}
 	shape := f.config.Shape
-	next := ImproveWithin(shape, current, f.load, f.cost, f.config.Spare)
+	next := ImproveWithin(shape, current, f.load, f.cost, f.config.Reach)
 	before, mean := StepLoad(shape, current, f.load, f.cost)
 	after, _ := StepLoad(shape, next, f.load, f.cost)
 	if mean <= 0 {
--- /dev/null
+++ b/group/balance/follow_test.go
@@ -0,0 +1,78 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/group"
+)
+
+func followConfig() FollowConfig {
+	return FollowConfig{
+		Shape: followShape, Reach: Reach{Spare: 2, Copies: 3}, Fixed: 0.6, CopySeconds: 0.11, CopySlow: 0.15,
+		StallSeconds: 0.03, HoldSeconds: 2, Smoothing: 0.3, Jump: 0.12,
+	}
+}
+
+// follow plays observations and carries out every switch at once.
+func follow(f *Follower, current *group.Map, load []float64) bool {
+	f.Observe(load)
+	decision := f.Decide(*current)
+	if decision.Switch {
+		*current = decision.Map
+	}
+	return decision.Switch
+}
+
+func TestNoiseAloneSettlesAndSwitchesNoMore(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(3, 4))
+	f, current := NewFollower(followConfig()), group.RoundRobin(followShape)
+	load := zipfLoad(followShape, rng)
+	switches, late := 0, 0
+	for i := range 200 {
+		if follow(f, &current, noisy(load, rng)) {
+			switches++
+			if i > 20 {
+				late++
+			}
+		}
+	}
+	is.True(switches >= 1)
+	is.True(late <= 2) // once even, it stays as it is
+	is.True(f.Skew(current) < 1.25)
+}
+
+// TestAJumpIsFollowedWithoutItsMixture cuts a jump into the middle of an
+// observation: what is half of the old demand and half of the new must not be
+// acted upon.
+func TestAJumpIsFollowedWithoutItsMixture(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(5, 6))
+	f, current := NewFollower(followConfig()), group.RoundRobin(followShape)
+	for range 10 {
+		old, next := zipfLoad(followShape, rng), zipfLoad(followShape, rng)
+		for range 20 {
+			follow(f, &current, noisy(old, rng))
+		}
+		mixture := make([]float64, len(old))
+		for i := range mixture {
+			mixture[i] = (old[i] + next[i]) / 2
+		}
+		is.True(!follow(f, &current, noisy(mixture, rng)))
+		is.True(!follow(f, &current, noisy(next, rng)))
+		is.True(follow(f, &current, noisy(next, rng))) // two alike are the next demand
+		busiest, mean := StepLoad(followShape, current, next, ones(16))
+		is.True(busiest/mean < 2)
+	}
+}
+
+func TestAFollowerThatHasSeenNothingProposesNothing(t *testing.T) {
+	is := is.New(t)
+	f := NewFollower(followConfig())
+	is.True(!f.Decide(group.RoundRobin(followShape)).Switch)
+	f.Observe(make([]float64, followShape.Layers*followShape.Experts))
+	is.True(!f.Decide(group.RoundRobin(followShape)).Switch)
+}
--- a/group/balance/improve.go
+++ b/group/balance/improve.go
@@ -150,18 +150,6 @@
 	return 0
 }
 
-// ImproveWithin returns the map that the best single moves lead to, each rank
-// taking at most spare experts of a layer that it does not hold.
-func ImproveWithin(shape group.Shape, m group.Map, load, cost []float64, spare int) group.Map {
-	m = m.Clone()
-	for n := range shape.Layers {
-		l := newLayer(shape, m.Layer(n), load[n*shape.Experts:(n+1)*shape.Experts], cost)
-		l.bound(spare)
-		improveLayer(l, 0, shape.SlotsPerLayer())
-	}
-	return m
-}
-
 // Improve returns the map that the best single moves lead to, at most the given
 // number of them, without regard to what they cost.
 func Improve(shape group.Shape, m group.Map, load, cost []float64, moves int) group.Map {
--- a/group/balance/layer.go
+++ b/group/balance/layer.go
@@ -16,16 +16,19 @@
 	replicas []int
 	hosts    [][]int   // the ranks that hold each expert
 	rank     []float64 // cost-weighted load of each rank
-	// base are the slots before any change, and room how many experts that base
-	// does not have each rank may still take; both nil for no such bound.
-	base []uint16
-	room []int
+	// base are the slots before any change. room is how many experts of this layer
+	// that base does not have each rank may still take, copies how many of all
+	// layers; nil for no such bounds.
+	base   []uint16
+	room   []int
+	copies []int
 }
 
-// bound lets each rank take at most the given number of experts that it does not
-// hold now.
-func (l *layer) bound(spare int) {
+// bound lets each rank take at most spare experts of this layer that it does not
+// hold now, and of all layers together what copies says, which the layers share.
+func (l *layer) bound(spare int, copies []int) {
 	l.base = slices.Clone(l.slots)
+	l.copies = copies
 	l.room = make([]int, l.shape.Ranks)
 	for rank := range l.room {
 		l.room[rank] = spare
@@ -37,9 +40,17 @@
 	return expert != group.Empty && !slices.Contains(l.base[rank*l.shape.Slots:(rank+1)*l.shape.Slots], expert)
 }
 
+// count notes that a rank takes (by 1) or gives back (by -1) an expert.
+func (l *layer) count(rank int, expert uint16, by int) {
+	if l.room != nil && l.isNew(rank, expert) {
+		l.room[rank] -= by
+		l.copies[rank] -= by
+	}
+}
+
 // mayHost reports whether a rank may take an expert within its bound.
 func (l *layer) mayHost(rank int, expert uint16) bool {
-	return l.room == nil || l.room[rank] > 0 || !l.isNew(rank, expert)
+	return l.room == nil || l.room[rank] > 0 && l.copies[rank] > 0 || !l.isNew(rank, expert)
 }
 
 func newLayer(shape group.Shape, slots []uint16, load, cost []float64) *layer {
@@ -102,12 +113,8 @@
 	rank := slot / l.shape.Slots
 	old := l.slots[slot]
 	l.slots[slot] = expert
-	if l.room != nil && l.isNew(rank, old) {
-		l.room[rank]++
-	}
-	if l.room != nil && l.isNew(rank, expert) {
-		l.room[rank]--
-	}
+	l.count(rank, old, -1)
+	l.count(rank, expert, 1)
 	l.leave(old, rank)
 	l.join(expert, rank)
 	l.refresh(old)
--- /dev/null
+++ b/group/balance/within_test.go
@@ -0,0 +1,79 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/group"
+)
+
+var followShape = group.Shape{Layers: 4, Experts: 64, Ranks: 16, Slots: 5}
+
+// zipfLoad is demand whose hot experts are drawn anew, as after a jump.
+func zipfLoad(shape group.Shape, rng *rand.Rand) []float64 {
+	load := make([]float64, shape.Layers*shape.Experts)
+	for n := range shape.Layers {
+		for place, expert := range rng.Perm(shape.Experts) {
+			load[n*shape.Experts+expert] = 1000 / math.Pow(float64(place+1), 1.1)
+		}
+	}
+	return load
+}
+
+// noisy is an observation of a load.
+func noisy(load []float64, rng *rand.Rand) []float64 {
+	seen := make([]float64, len(load))
+	for i, tokens := range load {
+		seen[i] = max(0, tokens+rng.NormFloat64()*math.Sqrt(tokens))
+	}
+	return seen
+}
+
+func ones(n int) []float64 {
+	list := make([]float64, n)
+	for i := range list {
+		list[i] = 1
+	}
+	return list
+}
+
+func TestASwitchStaysWithinItsReach(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	reach := Reach{Spare: 2, Copies: 3}
+	current := group.RoundRobin(followShape)
+	for range 30 {
+		load := zipfLoad(followShape, rng)
+		next := ImproveWithin(followShape, current, load, ones(16), reach)
+		is.NoErr(next.Validate(followShape))
+		for rank, copies := range group.Moves(current, next) {
+			is.True(copies <= reach.Copies) // of all layers together
+			for layer := range followShape.Layers {
+				fresh := 0
+				for _, expert := range next.Rank(layer, rank) {
+					if expert != group.Empty && !holds(current.Rank(layer, rank), expert) {
+						fresh++
+					}
+				}
+				is.True(fresh <= reach.Spare)
+			}
+		}
+		before, mean := StepLoad(followShape, current, load, ones(16))
+		after, _ := StepLoad(followShape, next, load, ones(16))
+		is.True(after < before)
+		is.True(after/mean < 2) // a third of a second of copies takes most of the skew away
+		current = next
+	}
+}
+
+func holds(list []uint16, expert uint16) bool {
+	for _, held := range list {
+		if held == expert {
+			return true
+		}
+	}
+	return false
+}
--- a/rankhost/settings.go
+++ b/rankhost/settings.go
@@ -42,7 +42,7 @@
 	set.String(&s.Endpoint, "endpoint", "", "the engine's own address", setting.Required, setting.HostPort)
 	set.String(&s.Pool, "pool", "", "pool that the engine belongs to", setting.Required, setting.Name)
 	set.Duration(&s.PollInterval, "poll-interval", 100*time.Millisecond, "time between two looks at the engine at rest", millisecond)
-	set.Duration(&s.CountInterval, "count-interval", 500*time.Millisecond, "time between two readings of the experts' counts", millisecond)
+	set.Duration(&s.CountInterval, "count-interval", 150*time.Millisecond, "time between two readings of the experts' counts", millisecond)
 	set.Duration(&s.HeartbeatInterval, "heartbeat-interval", time.Second, "time between two announcements", millisecond)
 	s.Telemetry.AdminListen = defaultAdminListen
 	link.Settings(set, &s.Link)
