--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,6 +18,10 @@
 // flushTimeout bounds sending the last spans at the end.
 const flushTimeout = 3 * time.Second
 
+// fullDiskPause is the time between two starts of a daemon whose disk is full.
+// Ending would not free any space, and the next process would end the same way.
+const fullDiskPause = 500 * time.Millisecond
+
 // Daemon is an assembled daemon.
 type Daemon interface {
 	// Ready says whether the daemon takes new work.
@@ -69,7 +73,15 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	reloads := &reloader{program: p, file: set.File(), logger: logger, hangup: hangup}
-	if err := p.run(ctx, logger, reloads); err != nil {
+	err := p.run(ctx, logger, reloads)
+	for errors.Is(err, syscall.ENOSPC) && ctx.Err() == nil {
+		logger.Warn("the disk is full; the daemon waits for space", slog.Any("error", err), slog.Duration("pause", fullDiskPause))
+		pause(ctx, fullDiskPause)
+		if ctx.Err() == nil {
+			err = p.run(ctx, logger, reloads)
+		}
+	}
+	if err != nil {
 		logger.Error("the daemon failed", slog.Any("error", err))
 		return 1
 	}
@@ -77,6 +89,16 @@
 	return 0
 }
 
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // run serves until ctx ends.
 func (p Program) run(ctx context.Context, logger *slog.Logger, reloads *reloader) (err error) {
 	flush, err := telemetry.Tracing(ctx, *p.Telemetry)
@@ -97,6 +119,8 @@
 		return err
 	}
 	defer func() { err = errors.Join(err, admin.Shutdown(context.WithoutCancel(ctx))) }()
-	go reloads.run(ctx, d)
+	running, ended := context.WithCancel(ctx)
+	defer ended()
+	go reloads.run(running, d)
 	return d.Run(ctx)
 }
--- a/endpoint/reach/reach.go
+++ b/endpoint/reach/reach.go
@@ -33,6 +33,8 @@
 type record struct {
 	failures int
 	until    time.Duration
+	// gone is true for an endpoint that is not there any more.
+	gone bool
 }
 
 // New returns a tracker that believes all endpoints to be in reach.
@@ -52,6 +54,14 @@
 	r.until = now + pause
 }
 
+// Gone notes that another endpoint has answered at an endpoint's address: it has
+// ended, and its id never comes back.
+func (t *Tracker) Gone(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records[id] = &record{gone: true}
+}
+
 // Worked notes that an endpoint has answered.
 func (t *Tracker) Worked(id string) {
 	t.mu.Lock()
@@ -69,7 +79,7 @@
 	defer t.mu.Unlock()
 	var out []string
 	for id, r := range t.records {
-		if now < r.until || silent(id) {
+		if r.gone || now < r.until || silent(id) {
 			out = append(out, id)
 		}
 	}
--- a/endpoint/reach/reach_test.go
+++ b/endpoint/reach/reach_test.go
@@ -30,6 +30,15 @@
 	is.Equal(len(tracker.Out(now, announces)), 0)
 }
 
+func TestAnEndpointThatIsGoneStaysOut(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	tracker.Gone("e")
+	is.Equal(tracker.Out(time.Hour, announces), []string{"e"})
+	tracker.Forget("e")
+	is.Equal(len(tracker.Out(time.Hour, announces)), 0)
+}
+
 func TestASilentEndpointIsOutOnlyAfterAFailure(t *testing.T) {
 	is := is.New(t)
 	tracker := New()
--- a/group/balance/within.go
+++ b/group/balance/within.go
@@ -11,6 +11,10 @@
 	Least float64
 }
 
+// leastGain ends the search where gains are no more than the rounding of sums,
+// which could be gained again and again; relative to the mean load of a rank.
+const leastGain = 1e-4
+
 // ImproveWithin returns the map that the best moves lead to, one at a time over
 // all layers, within the reach of one switch. The time that a switch takes grows
 // with the most copies that any rank has to take, so they are spread.
@@ -29,7 +33,7 @@
 	for n := range layers {
 		best[n] = layers[n].offer()
 	}
-	for {
+	for range shape.Layers * shape.SlotsPerLayer() {
 		chosen := -1
 		for n := range best {
 			if best[n].found && (chosen < 0 || best[n].gain > best[chosen].gain) {
@@ -39,7 +43,7 @@
 		if chosen < 0 {
 			return m
 		}
-		if best[chosen].gain <= reach.Least*layers[chosen].even() {
+		if best[chosen].gain <= max(reach.Least, leastGain)*layers[chosen].even() {
 			return m
 		}
 		layers[chosen].apply(best[chosen].change)
@@ -50,6 +54,7 @@
 			}
 		}
 	}
+	return m
 }
 
 // offer is the best change of one layer, and what it gains per move.
--- a/group/balance/within_test.go
+++ b/group/balance/within_test.go
@@ -32,14 +32,6 @@
 	return seen
 }
 
-func ones(n int) []float64 {
-	list := make([]float64, n)
-	for i := range list {
-		list[i] = 1
-	}
-	return list
-}
-
 func TestASwitchStaysWithinItsReach(t *testing.T) {
 	is := is.New(t)
 	rng := rand.New(rand.NewPCG(1, 2))
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -26,7 +26,9 @@
 func (a *attempt) answered(r *direct.Response) attemptResult {
 	s, q := a.server, a.request
 	names := s.config.Headers
-	s.Reach.Worked(a.target.ID)
+	if r.Status != http.StatusMisdirectedRequest {
+		s.Reach.Worked(a.target.ID)
+	}
 	if r.Status == http.StatusMisdirectedRequest || names.NotRun != "" && r.Header.Get(names.NotRun) != "" {
 		return a.rejected(r)
 	}
@@ -76,7 +78,7 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxRefusalBytes))
 	a.done(false)
 	if r.Status == http.StatusMisdirectedRequest {
-		s.Reach.Failed(s.clock(), a.target.ID)
+		s.Reach.Gone(a.target.ID)
 	}
 	f := fault.Newf(fault.Overloaded, "ask again after the time given", "the endpoint ran nothing and answered %d", r.Status)
 	return failed(call.Rejected, f)
