Keep the pace of streams: limit calls by the slowest recent passes, follow jumps at once

Cause: with all slots in use a pass takes longer than the longest pause that routes promise whenever demand has jumped, and every stream in flight is late; a jump was acted upon only after two whole observations, 0.45 s.

Change: endpoint/concurrency limits calls by the slowest windows of the last six seconds; entries take their share of the room; a request that has waited elsewhere goes first in its workspace; the follower acts on what is left of a mixture without the former demand, with two copies a rank and a price on each.

--- a/control/formations.go
+++ b/control/formations.go
@@ -26,9 +26,11 @@
 	// followJump is the distance between two distributions of demand from which on
 	// they are different: jumps measured move 0.2 to 0.5, noise 0.05.
 	followJump = 0.12
-	// followCopies is the number of experts that a rank copies for one switch, a
-	// third of a second; what is left is for the next one.
-	followCopies = 3
+	// followCopies is the number of experts that a rank copies for one switch, less
+	// than a quarter of a second; what is left is for the next one.
+	followCopies = 2
+	// followMove is what one copy is worth, in seconds of steps.
+	followMove = 0.002
 	// copySeconds is the time to copy one expert between ranks, and copySlow the
 	// part by which steps take longer meanwhile.
 	copySeconds = 0.11
@@ -86,7 +88,7 @@
 	}
 	return balance.FollowConfig{
 		Shape: shape, Reach: balance.Reach{Spare: max(f.spare[name], 1), Copies: followCopies}, Fixed: fixedShare, CopySeconds: copySeconds, CopySlow: copySlow,
-		StallSeconds: followStall.Seconds(), HoldSeconds: followHold.Seconds(), Smoothing: followSmoothing, Jump: followJump,
+		StallSeconds: followStall.Seconds(), MoveSeconds: followMove, HoldSeconds: followHold.Seconds(), Smoothing: followSmoothing, Jump: followJump,
 	}, true
 }
 
--- /dev/null
+++ b/endpoint/concurrency/concurrency.go
@@ -0,0 +1,124 @@
+// Package concurrency finds how many calls a pool of lock-step engines may run at
+// once so that their streams keep the pace that callers were promised.
+//
+// The time of a step grows with the calls that run, and all ranks take the same
+// time for it: so the pauses between the parts of any stream show the pace of the
+// whole pool, and a call too many makes every stream late. Up to the limit more
+// calls are served sooner; beyond it all are served late.
+//
+// The package is pure: times are arguments.
+package concurrency
+
+import (
+	"slices"
+	"time"
+)
+
+// Config says what pace is wanted.
+type Config struct {
+	// Pause is the longest pause between two parts of a stream that is in time.
+	Pause time.Duration
+	// Fixed is the part of a pause that does not grow with the calls; zero if it is
+	// not known.
+	Fixed time.Duration
+	// Slots is the number of calls that the pool can run at once.
+	Slots int
+}
+
+const (
+	// target is the part of the longest pause that the slowest recent passes are
+	// kept to; the rest is for the scatter.
+	target = 0.92
+	// fixedGuess stands in for an unknown Fixed, as a part of the measured pause.
+	fixedGuess = 0.3
+	// window is the time over which pauses are averaged: about two passes, so that
+	// one late packet is not taken for the pool's pace.
+	window = 150 * time.Millisecond
+	// memory is how many seconds a slow window counts. One late part makes a whole
+	// stream late, and pools have slow moments every few seconds (demand for experts
+	// jumps, and maps follow): so the limit is for those, not for the mean.
+	memory = 6
+	// stall is how many times the longest pause a pause must last to be taken for a
+	// stall, which no limit helps against.
+	stall = 3
+	// least is the part of the slots that is used whatever the pace: a pool that
+	// is slow for other reasons must not be left idle.
+	least = 0.3
+	// gain is how far the limit moves towards what is asked for, in each update.
+	gain = 0.25
+)
+
+// Limiter keeps the limit of one pool. The zero Limiter has no limit below the
+// slots. It is not safe for concurrent use.
+type Limiter struct {
+	// sum and count are of the pauses in the present window, which began at began.
+	sum   time.Duration
+	count int
+	began time.Duration
+	// running is the number of calls at the last update.
+	running float64
+	// slopes are the parts of a pause, in seconds, that one call adds, in the
+	// slowest window of each of the last seconds; second is the latest of these.
+	slopes [memory]float64
+	second int64
+	limit  float64
+}
+
+// Observe notes a pause between two parts of a stream.
+func (l *Limiter) Observe(now, pause time.Duration, cfg Config) {
+	if cfg.Pause <= 0 || pause > stall*cfg.Pause {
+		return
+	}
+	if now-l.began > window {
+		l.close(now, cfg)
+	}
+	l.sum += pause
+	l.count++
+}
+
+// close takes in the mean of a window and begins the next.
+func (l *Limiter) close(now time.Duration, cfg Config) {
+	if l.count > 0 && l.running >= 1 {
+		mean := l.sum / time.Duration(l.count)
+		l.forget(now)
+		slot := &l.slopes[l.second%memory]
+		*slot = max(*slot, (mean-fixedOf(mean, cfg)).Seconds()/l.running)
+	}
+	l.sum, l.count, l.began = 0, 0, now
+}
+
+// forget drops the seconds that lie too far back.
+func (l *Limiter) forget(now time.Duration) {
+	present := int64(now / time.Second)
+	for l.second < present {
+		l.second = max(l.second+1, present-memory)
+		l.slopes[l.second%memory] = 0
+	}
+}
+
+// fixedOf is the part of a pause that does not grow with the calls.
+func fixedOf(pause time.Duration, cfg Config) time.Duration {
+	if cfg.Fixed > 0 && cfg.Fixed < pause {
+		return cfg.Fixed
+	}
+	return time.Duration(fixedGuess * float64(pause))
+}
+
+// Update returns the number of calls that the pool may run, given how many run
+// now.
+func (l *Limiter) Update(now time.Duration, cfg Config, running float64) float64 {
+	l.running = running
+	slots := float64(cfg.Slots)
+	if l.limit == 0 {
+		l.limit = slots
+	}
+	l.forget(now)
+	asked := slots
+	if slope := slices.Max(l.slopes[:]); slope > 0 && cfg.Pause > 0 {
+		wanted := time.Duration(target * float64(cfg.Pause))
+		asked = (wanted - fixedOf(wanted, cfg)).Seconds() / slope
+	}
+	asked = min(max(asked, least*slots), slots)
+	l.limit += gain * (asked - l.limit)
+	return l.limit
+}
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -23,6 +23,9 @@
 // while no other lock is taken.
 type Admissions struct {
 	peers int
+	// routed is true where the pace of the pools sets the places, not their slots.
+	routed bool
+	policy workspace.Config
 
 	mu     sync.Mutex
 	gates  map[string]*workspace.Gate
@@ -31,7 +34,11 @@
 
 // NewAdmissions returns the admission of one of the fleet's entries.
 func NewAdmissions(cfg Config) *Admissions {
-	return &Admissions{peers: max(cfg.Peers, 1), gates: map[string]*workspace.Gate{}, limits: map[string]workspace.Limits{}}
+	a := &Admissions{peers: max(cfg.Peers, 1), routed: cfg.Routed, gates: map[string]*workspace.Gate{}, limits: map[string]workspace.Limits{}}
+	if cfg.Routed {
+		a.policy = workspace.Config{MaxWait: cfg.MaxWait, MaxRetryAfter: cfg.MaxRetryAfter}
+	}
+	return a
 }
 
 // Admit implements Admitter.
@@ -39,6 +46,9 @@
 	return a.AdmitTo(ctx, r.Pool, workspace.Request{Workspace: r.Workspace, Priority: r.Priority, Cost: r.Tokens})
 }
 
+// SetPlaces implements routed.Places.
+func (a *Admissions) SetPlaces(pool string, places int) { a.gate(pool).SetCapacity(places) }
+
 // AdmitTo implements routed.Admitter.
 func (a *Admissions) AdmitTo(ctx context.Context, pool string, r workspace.Request) (func(), error) {
 	release, err := a.gate(pool).Acquire(ctx, r)
@@ -55,7 +65,7 @@
 	defer a.mu.Unlock()
 	gate, ok := a.gates[pool]
 	if !ok {
-		gate = workspace.NewGate(workspace.NewAdmission(workspace.Config{}), func() time.Duration { return time.Since(processStart) })
+		gate = workspace.NewGate(workspace.NewAdmission(a.policy), func() time.Duration { return time.Since(processStart) })
 		gate.Configure(maps.Clone(a.limits))
 		a.gates[pool] = gate
 	}
@@ -104,8 +114,12 @@
 	}
 }
 
-// Resize fits the gates to the endpoints that take new work.
+// Resize fits the gates to the endpoints that take new work. For routes their
+// pace decides instead.
 func (a *Admissions) Resize(endpoints []*endpoint.Endpoint) {
+	if a.routed {
+		return
+	}
 	slots := map[string]int{}
 	for _, e := range endpoints {
 		if e.State != endpoint.Serving {
--- a/entry/config.go
+++ b/entry/config.go
@@ -65,6 +65,9 @@
 	RetryStyle answer.Style
 	// RetryAfter is what callers are told then when nothing better is known.
 	RetryAfter time.Duration
+	// MaxWait is how long a request of a route waits for a place at most, and
+	// MaxRetryAfter the latest time at which a refused one is asked to come back.
+	MaxWait, MaxRetryAfter time.Duration
 	// CallerIdle is how long an unused connection of a caller is kept.
 	CallerIdle time.Duration
 	// DrainDelay is how long a stopping entry goes on taking new requests while
@@ -98,6 +101,8 @@
 	s.Int(&cfg.Peers, "entries", 1, "number of entries of the fleet", setting.Min(1))
 	s.Bool(&cfg.Routed, "routed", false, "answer callers by the routes of the published site, instead of by the completions API")
 	s.Duration(&cfg.RetryAfter, "retry-after", call.DefaultRetryAfter, "when a refused caller of a route is asked to come back if nothing better is known", setting.Min(time.Millisecond))
+	s.Duration(&cfg.MaxWait, "max-wait", 300*time.Millisecond, "how long a request of a route waits for a place", setting.Min(time.Millisecond))
+	s.Duration(&cfg.MaxRetryAfter, "max-retry-after", 2500*time.Millisecond, "latest time at which a refused caller of a route is asked to come back", setting.Min(time.Millisecond))
 	s.Duration(&cfg.CallerIdle, "caller-idle", idleTimeout, "how long an unused connection of a caller is kept", setting.Min(time.Second))
 	s.Duration(&cfg.DrainDelay, "drain-delay", 2*time.Second, "how long a stopping entry that is not ready still takes requests", setting.Min(time.Duration(0)))
 	telemetry.Settings(s, &cfg.Telemetry)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -77,6 +77,9 @@
 	}()
 	defer func() { <-relayed }()
 	go d.tickOutliers(background)
+	if d.config.Routed {
+		go d.throttle(background)
+	}
 	server := d.httpServer()
 	failed := make(chan error, 1)
 	go func() { failed <- server.Serve(d.listener) }()
@@ -156,6 +159,20 @@
 	}
 }
 
+// throttle keeps the calls in flight to what keeps the pace of the pools.
+func (d *Daemon) throttle(ctx context.Context) {
+	ticker := time.NewTicker(routed.ThrottleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.routed.Throttle(d.configurer.admissions)
+		}
+	}
+}
+
 // tickOutliers takes the endpoints out of rotation that do worse than their
 // peers.
 func (d *Daemon) tickOutliers(ctx context.Context) {
--- a/group/balance/follow.go
+++ b/group/balance/follow.go
@@ -20,8 +20,9 @@
 	// CopySeconds is the time to copy one expert to a rank, CopySlow the part by
 	// which steps take longer meanwhile.
 	CopySeconds, CopySlow float64
-	// StallSeconds is what a switch costs besides.
-	StallSeconds float64
+	// StallSeconds is what a switch costs besides, and MoveSeconds what the
+	// deployment pays for each expert copied, in seconds of steps.
+	StallSeconds, MoveSeconds float64
 	// HoldSeconds is how long a new map is expected to be of use.
 	HoldSeconds float64
 	// Smoothing is the weight of the newest observation while demand stays, above
@@ -41,12 +42,13 @@
 	cost   []float64
 }
 
-// demand is what is known of the demand in one layer: the estimate, and after a
-// jump the observation that may be the first of the next demand. An observation
-// in which the jump falls is a mixture of both; only two alike count.
+// demand is what is known of the demand in one layer. An observation in which a
+// jump falls is a mixture of two demands: what is left of it without the former
+// one is the first estimate of the next, which the next observation replaces.
 type demand struct {
-	estimate, candidate []float64
-	settled             bool
+	estimate []float64
+	// fresh is true for an estimate that is what was left of a mixture.
+	fresh bool
 }
 
 // NewFollower returns a follower that has seen nothing.
@@ -76,19 +78,47 @@
 	switch {
 	case share == nil:
 		return
-	case d.estimate != nil && distance(share, d.estimate) < config.Jump:
+	case d.estimate == nil:
+		d.estimate, d.fresh = share, true
+	case distance(share, d.estimate) < config.Jump:
+		weight := config.Smoothing
+		if d.fresh {
+			weight = 1
+		}
 		for i := range d.estimate {
-			d.estimate[i] += config.Smoothing * (share[i] - d.estimate[i])
+			d.estimate[i] += weight * (share[i] - d.estimate[i])
 		}
-		d.candidate, d.settled = nil, true
-	case d.candidate != nil && distance(share, d.candidate) < config.Jump:
-		d.estimate, d.candidate, d.settled = share, nil, true
+		d.fresh = false
+	case d.fresh:
+		// The estimate was only what was left of a mixture; this is better.
+		d.estimate = share
 	default:
-		d.candidate, d.settled = share, false
-		if d.estimate == nil {
-			d.estimate = share
+		d.estimate, d.fresh = without(share, d.estimate), true
+	}
+}
+
+// leastPart is the part of a mixture that the next demand must have before what
+// is left without the former one is told from noise.
+const leastPart = 0.2
+
+// without returns what is left of a mixture without the former demand. Its part
+// shows in what the former's busiest expert has lost.
+func without(mixture, former []float64) []float64 {
+	busiest := 0
+	for i := range former {
+		if former[i] > former[busiest] {
+			busiest = i
 		}
 	}
+	old := min(mixture[busiest]/former[busiest], 1)
+	if 1-old < leastPart {
+		return mixture
+	}
+	left := make([]float64, len(mixture))
+	for i := range left {
+		left[i] = max(mixture[i]-old*former[i], 0)
+	}
+	return shares(left)
 }
 
 // shares returns a load as parts of its sum, nil if there is none.
@@ -117,22 +147,8 @@
 	return sum / 2
 }
 
-// Settled reports whether no layer is in the middle of a jump.
-func (f *Follower) Settled() bool {
-	for n := range f.layers {
-		if !f.layers[n].settled {
-			return false
-		}
-	}
-	return true
-}
-
-// Decide weighs the best map within reach against the present one. In the middle
-// of a jump it proposes nothing: the next observation tells.
+// Decide weighs the best map within reach against the present one.
 func (f *Follower) Decide(current group.Map) Decision {
-	if !f.Settled() {
-		return Decision{}
-	}
 	shape := f.config.Shape
 	next := ImproveWithin(shape, current, f.load, f.cost, f.config.Reach)
 	before, mean := StepLoad(shape, current, f.load, f.cost)
@@ -148,7 +164,7 @@
 	whole := before + f.config.Fixed*mean
 	d := Decision{Map: next, Moves: moves, Saving: (before - after) / whole, Hold: f.config.HoldSeconds}
 	d.Gain = d.Saving * d.Hold
-	d.Cost = float64(most)*f.config.CopySeconds*f.config.CopySlow + f.config.StallSeconds
+	d.Cost = float64(most)*f.config.CopySeconds*f.config.CopySlow + f.config.StallSeconds + float64(moves)*f.config.MoveSeconds
 	d.Switch = moves > 0 && d.Gain > d.Cost
 	return d
 }
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -193,11 +193,15 @@
 
 // part notes a part of a stream.
 func (a *attempt) part() {
+	now := a.server.clock()
 	a.parts++
 	if a.parts == 1 {
-		a.first = a.server.clock()
+		a.first = now
 		a.server.Loads.FirstToken(a.first, &a.load)
+	} else {
+		a.server.throttle.observe(a.target.Pool, now, now-a.latest)
 	}
+	a.latest = now
 }
 
 // broken ends an attempt whose stream broke off. What cannot be gone on with is
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -58,7 +58,7 @@
 	})
 	admitted, cancel := context.WithTimeout(x.caller, max(q.deadline-s.clock(), 0))
 	release, err := s.Admitter.AdmitTo(admitted, q.pool, workspace.Request{
-		Workspace: q.workspace.GetName(), Priority: -q.priority, Deadline: q.deadline, Cost: q.work.PromptTokens + q.work.MaxTokens,
+		Workspace: q.workspace.GetName(), Priority: q.rank(), Deadline: q.deadline, Cost: q.work.PromptTokens + q.work.MaxTokens,
 	})
 	cancel()
 	if err != nil {
@@ -262,9 +262,10 @@
 	*exchange
 	load    load.Call
 	started time.Duration
-	// first is when the first part of the answer came, parts how many came.
-	first time.Duration
-	parts int
+	// first and latest are when the first and the last part of the answer came,
+	// parts how many came.
+	first, latest time.Duration
+	parts         int
 }
 
 // unanswered ends an attempt that has not brought the head of an answer.
--- a/routed/request.go
+++ b/routed/request.go
@@ -67,6 +67,23 @@
 	return q, s.readBody(w, r, q, table)
 }
 
+// waitedStep is the time already waited elsewhere that lifts a request by one
+// rank among those of its workspace.
+const waitedStep = 500 * time.Millisecond
+
+// rank orders the requests of one workspace that wait for a place, higher first:
+// by the rank of the workspace or route, and among equals by how much of the
+// route's time is gone. A caller that comes back after a refusal has less left,
+// and is not to be refused for the sake of one that has just come.
+func (q *request) rank() int {
+	whole := time.Duration(q.route.GetTimeoutMs()) * time.Millisecond
+	gone := max(whole-(q.deadline-q.arrived), 0)
+	return int(min(gone/waitedStep, ranksPerPriority-1)) - ranksPerPriority*q.priority
+}
+
+// ranksPerPriority keeps the time that is gone from outweighing a priority.
+const ranksPerPriority = 64
+
 // target returns path and query byte for byte.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/routed/server.go
+++ b/routed/server.go
@@ -78,8 +78,10 @@
 	config  Config
 	private map[string]bool
 	metrics *serverMetrics
-	clock   func() time.Duration
-	name    string
+	// throttle keeps the pace of the pools.
+	throttle *throttle
+	clock    func() time.Duration
+	name     string
 	// start tells the ids made by this process from those of others of its name.
 	start    uint64
 	sequence atomic.Uint64
@@ -91,7 +93,7 @@
 // arbitrary start, the same as for the parts.
 func NewServer(cfg Config, parts Parts, clock func() time.Duration) *Server {
 	s := &Server{
-		Parts: parts, config: cfg, private: cfg.Headers.private(), metrics: newServerMetrics(),
+		Parts: parts, config: cfg, private: cfg.Headers.private(), metrics: newServerMetrics(), throttle: newThrottle(),
 		clock: clock, name: cfg.Name, start: rand.Uint64() >> 16,
 	}
 	s.table.Store(site.NewTable(nil))
--- /dev/null
+++ b/routed/throttle.go
@@ -0,0 +1,134 @@
+package routed
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/endpoint/concurrency"
+	"github.com/lilackeel/lilackeel/site"
+)
+
+// ThrottleInterval is the time between two looks at the load of the pools, about
+// that between two reports of an endpoint.
+const ThrottleInterval = 100 * time.Millisecond
+
+// leastShare is the part of a pool's free room that an entry may take however
+// little it sends there now; with several entries it lets each of them begin.
+const leastShare = 0.2
+
+// Places is told how many calls this entry may have in flight in a pool.
+type Places interface {
+	// SetPlaces sets the number for a pool.
+	SetPlaces(pool string, places int)
+}
+
+// throttle keeps the calls in flight in each pool to what keeps its pace. Entries
+// do not see each other's calls; each knows the endpoints' own reports and what
+// it has sent since, and takes its share of the room that is left.
+type throttle struct {
+	mu       sync.Mutex
+	limiters map[string]*concurrency.Limiter
+	configs  map[string]concurrency.Config
+}
+
+func newThrottle() *throttle {
+	return &throttle{limiters: map[string]*concurrency.Limiter{}, configs: map[string]concurrency.Config{}}
+}
+
+// limiter returns the limiter of a pool; the lock is held.
+func (t *throttle) limiter(pool string) *concurrency.Limiter {
+	l := t.limiters[pool]
+	if l == nil {
+		l = &concurrency.Limiter{}
+		t.limiters[pool] = l
+	}
+	return l
+}
+
+// observe notes a pause between two parts of a stream.
+func (t *throttle) observe(pool string, now, pause time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.limiter(pool).Observe(now, pause, t.configs[pool])
+}
+
+// update returns the limit of a pool.
+func (t *throttle) update(pool string, now time.Duration, cfg concurrency.Config, running float64) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.configs[pool] = cfg
+	return t.limiter(pool).Update(now, cfg, running)
+}
+
+// poolLoad is what is known of a pool's load.
+type poolLoad struct {
+	slots, own int
+	running    float64
+}
+
+// Throttle sets the places of all pools anew. It has to be called every
+// ThrottleInterval.
+func (s *Server) Throttle(places Places) {
+	table := s.table.Load()
+	now := s.clock()
+	pauses := longestPauses(table)
+	loads := s.poolLoads(now)
+	for _, pool := range table.Pools() {
+		load := loads[pool.GetName()]
+		cfg := concurrency.Config{Pause: pauses[pool.GetName()], Slots: load.slots}
+		if engine := pool.GetEngine(); engine != nil {
+			cfg.Fixed = time.Duration(engine.GetStepMs() * float64(max(engine.GetStride(), 1)) * float64(time.Millisecond))
+		}
+		limit := s.throttle.update(pool.GetName(), now, cfg, load.running)
+		places.SetPlaces(pool.GetName(), load.places(limit))
+	}
+}
+
+// places is how many calls this entry may have in flight under a limit for all.
+func (p poolLoad) places(limit float64) int {
+	free := limit - p.running
+	if free <= 0 {
+		return max(p.own, 1)
+	}
+	share := 1.0
+	if p.running > 0 {
+		share = max(float64(p.own)/p.running, leastShare)
+	}
+	return p.own + int(math.Ceil(free*min(share, 1)))
+}
+
+// poolLoads adds up the load of the endpoints of each pool.
+func (s *Server) poolLoads(now time.Duration) map[string]poolLoad {
+	loads := map[string]poolLoad{}
+	for _, e := range s.Endpoints.Snapshot().All() {
+		if e.Addr == "" || e.State != endpoint.Serving || e.Silent {
+			continue
+		}
+		load := loads[e.Pool]
+		load.slots += max(e.Slots, 1)
+		load.own += s.Loads.InFlight(e.ID)
+		load.running += s.Loads.Estimate(now, e.ID).Running
+		loads[e.Pool] = load
+	}
+	return loads
+}
+
+// longestPauses returns the pause that the streams of each pool are held to: the
+// shortest that one of its routes promises.
+func longestPauses(table *site.Table) map[string]time.Duration {
+	pauses := map[string]time.Duration{}
+	for _, route := range table.Routes() {
+		gap := time.Duration(route.GetGapMs()) * time.Millisecond
+		if gap <= 0 {
+			continue
+		}
+		for _, split := range route.GetSplits() {
+			if held := pauses[split.GetPool()]; split.GetWeight() > 0 && (held == 0 || gap < held) {
+				pauses[split.GetPool()] = gap
+			}
+		}
+	}
+	return pauses
+}
--- a/site/site.go
+++ b/site/site.go
@@ -64,6 +64,9 @@
 // Pools returns all pools.
 func (t *Table) Pools() []*fleetv1.Pool { return t.site.GetPools() }
 
+// Routes returns all routes.
+func (t *Table) Routes() []*fleetv1.Route { return t.site.GetRoutes() }
+
 // HasWorkspaces reports whether callers of routes that are not public need a
 // key.
 func (t *Table) HasWorkspaces() bool { return len(t.site.GetWorkspaces()) > 0 }
