rankhost: a decided map is armed before the next is prepared; a world that plays it

Change: the next map waits until the decided one is armed or in use. The test plays lost, late and unanswered orders, frozen, cut and restarted hosts and new coordinators in virtual time: one map in every pass, and no group held for good.

--- a/rankhost/holder.go
+++ b/rankhost/holder.go
@@ -142,10 +142,14 @@
 	h.maps[epoch] = m
 }
 
-// preparing reports whether a map is still to be prepared.
+// preparing reports whether a map is still to be prepared. An engine keeps one
+// prepared map: while it is the one that has been decided and not yet armed, the
+// next must wait, or the decided one could never be put in force.
 func (h *Holder) preparing() bool {
-	epoch := h.wanted.Epoch
-	return epoch > firstEpoch && epoch == h.rank.Record().PendingEpoch && !h.has(epoch)
+	epoch, record := h.wanted.Epoch, h.rank.Record()
+	inForce := versionOf(record.Epoch)
+	settled := h.status.Map == inForce || h.status.Armed == inForce
+	return epoch > firstEpoch && epoch == record.PendingEpoch && settled && !h.has(epoch)
 }
 
 // Next returns the one order that brings the engine closer to what the record
--- /dev/null
+++ b/rankhost/holder_test.go
@@ -0,0 +1,46 @@
+package rankhost
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestOneMapInEveryPass plays switches one after another while messages are lost
+// and late, orders are carried out without an answer or seconds later, hosts are
+// frozen, cut off and started again, and coordinators are replaced. No pass may
+// begin with two maps; afterwards the group must run on and switch again.
+func TestOneMapInEveryPass(t *testing.T) {
+	for _, ranks := range []int{2, 3, 5} {
+		for seed := range uint64(40) {
+			t.Run(fmt.Sprintf("ranks=%d/seed=%d", ranks, seed), func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t, seed, ranks)
+				w.loss, w.late = 0.05, 0.05
+				w.run(20*time.Second, true)
+				w.loss, w.late = 0, 0
+				clear(w.cut)
+				w.run(26*time.Second, false)
+				step, epoch := w.step, w.record.Epoch
+				w.run(32*time.Second, false)
+				if w.step == step || w.record.Epoch == epoch {
+					w.dump()
+				}
+				is.True(w.step > step)          // nothing is held for good
+				is.True(w.record.Epoch > epoch) // and maps are switched again
+			})
+		}
+	}
+}
+
+// TestACalmSwitchHoldsNothingUp counts the passes that a group without trouble
+// loses to its switches.
+func TestACalmSwitchHoldsNothingUp(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 1, 4)
+	w.run(10*time.Second, false)
+	is.True(w.record.Epoch > 5)
+	is.True(w.step >= 230) // of 250 passes of 40 ms, over 30 switches and more
+}
