Stop an entry without cutting a request that has just come

Ruled out: the listener's guard, and a cancelled context: the engine saw the request after our own close.

Change: callers are asked to leave with each answer, after the drain delay they are refused, and connections close only when nothing was in flight for 200 ms.

--- a/entry/config.go
+++ b/entry/config.go
@@ -73,6 +73,8 @@
 	// DrainDelay is how long a stopping entry goes on taking new requests while
 	// it is no longer ready, so that the balancer in front can turn away.
 	DrainDelay time.Duration
+	// StopLimit bounds the planned stop of an entry that answers by routes.
+	StopLimit time.Duration
 
 	// Telemetry and Link are shared by all daemons.
 	Telemetry telemetry.Config
@@ -105,6 +107,7 @@
 	s.Duration(&cfg.MaxRetryAfter, "max-retry-after", 2500*time.Millisecond, "latest time at which a refused caller of a route is asked to come back", setting.Min(time.Millisecond))
 	s.Duration(&cfg.CallerIdle, "caller-idle", idleTimeout, "how long an unused connection of a caller is kept", setting.Min(time.Second))
 	s.Duration(&cfg.DrainDelay, "drain-delay", 2*time.Second, "how long a stopping entry that is not ready still takes requests", setting.Min(time.Duration(0)))
+	s.Duration(&cfg.StopLimit, "stop-limit", 30*time.Second, "longest planned stop of an entry with -routed; what is in flight then is cut", setting.Min(time.Second))
 	telemetry.Settings(s, &cfg.Telemetry)
 	link.Settings(s, &cfg.Link)
 	s.Check(cfg.check)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -30,6 +30,11 @@
 	headerHardLimit = 1<<20 + 64<<10
 	// outlierInterval is the time between two verdicts on outliers.
 	outlierInterval = time.Second
+	// stopQuiet is how long nothing must have been in flight before the connections
+	// of callers are closed: a few times the way of a request. stopPoll is the time
+	// between two looks.
+	stopQuiet = 200 * time.Millisecond
+	stopPoll  = 20 * time.Millisecond
 	// reasonStopping is why a stopping entry is not ready.
 	reasonStopping = "stopping"
 )
@@ -108,13 +113,12 @@
 func (d *Daemon) stop(ctx context.Context, server *http.Server, failed <-chan error) error {
 	d.stopping.Store(true)
 	d.ready.Set(false, reasonStopping)
-	d.routed.Stop()
 	d.logger.Info("stopping after the requests in flight", slog.Int64("requests", d.server.metrics.inFlight.Load()+d.routed.InFlight()))
-	if !d.config.Routed {
-		server.SetKeepAlivesEnabled(false)
+	if d.config.Routed {
+		return d.stopRouted(ctx, server, failed)
 	}
-	sleep(ctx, d.config.DrainDelay)
 	server.SetKeepAlivesEnabled(false)
+	sleep(ctx, d.config.DrainDelay)
 	err := server.Shutdown(ctx)
 	d.server.Settled()
 	if served := <-failed; !errors.Is(served, http.ErrServerClosed) {
@@ -123,6 +127,31 @@
 	return trace.Wrap(err)
 }
 
+// stopRouted ends the service to callers of routes. net/http's own shutdown
+// closes connections that it takes for idle although a request has just come on
+// them, which would be cut. So callers are asked to leave with each answer, then
+// refused, and connections are closed only when nothing has been in flight for a
+// moment.
+func (d *Daemon) stopRouted(ctx context.Context, server *http.Server, failed <-chan error) error {
+	limit := time.Now().Add(d.config.StopLimit)
+	d.routed.Stop()
+	sleep(ctx, d.config.DrainDelay)
+	d.routed.Refuse()
+	quiet := time.Now()
+	for time.Since(quiet) < stopQuiet && time.Now().Before(limit) {
+		sleep(ctx, stopPoll)
+		if d.routed.InFlight() > 0 {
+			quiet = time.Now()
+		}
+	}
+	d.logger.Info("stopped", slog.Int64("cut", d.routed.InFlight()))
+	err := server.Close()
+	if served := <-failed; !errors.Is(served, http.ErrServerClosed) {
+		err = errors.Join(err, served)
+	}
+	return trace.Wrap(err)
+}
+
 // httpServer serves callers by HTTP/1.1 and by HTTP/2 without TLS, as the
 // balancer in front prefers.
 func (d *Daemon) httpServer() *http.Server {
--- a/routed/request.go
+++ b/routed/request.go
@@ -46,6 +46,9 @@
 	if mixedFraming(r) {
 		return q, call.Refuse(errMixedFraming)
 	}
+	if s.refusing.Load() {
+		return q, call.Refuse(errStopping)
+	}
 	if !table.Published() {
 		return q, call.Refuse(errNoSite)
 	}
--- a/routed/server.go
+++ b/routed/server.go
@@ -87,6 +87,7 @@
 	sequence atomic.Uint64
 	table    atomic.Pointer[site.Table]
 	stopping atomic.Bool
+	refusing atomic.Bool
 }
 
 // NewServer returns a server without a site. The clock returns the time since an
@@ -109,6 +110,10 @@
 // Stop makes callers leave: each answer from now on closes its connection.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// Refuse ends the taking on of requests: those that still come on connections
+// kept from before are told that they have not run.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
 // InFlight returns the number of requests that are being answered.
 func (s *Server) InFlight() int64 { return s.metrics.inFlight.Load() }
 
@@ -164,5 +169,9 @@
 var errNoSite = fault.New(fault.Unavailable, "this entry has no accepted configuration yet",
 	"ask again after the time given; if it lasts, look for a quorum of control replicas").After(time.Second)
 
+// errStopping refuses what comes to a stopping entry after its last moment. Other
+// entries take it at once.
+var errStopping = fault.New(fault.Leaving, "this entry is stopping", "ask again on a new connection").After(10 * time.Millisecond)
+
 // errMixedFraming refuses a request that could be read as two.
 var errMixedFraming = fault.New(fault.Invalid, "the request states both a length and chunks", "send its body in one way")
