Keep the number of voters: take blank disks in for those that are gone

Cause: an empty machine at another address could not join at all, and daemons knew only the control replicas of their first settings.

Change: with -voters the leader gives an unknown blank disk the place of a silent voter in one change, keeps one in reserve while all are there, and lets it take over; a refused disk is emptied and joins anew; the feed and announcements name the replicas; orders are not given to endpoints without an agent; gRPC's warnings are bounded.

--- a/cmd/lilackeel-control/main.go
+++ b/cmd/lilackeel-control/main.go
@@ -16,6 +16,7 @@
 		Name:      "lilackeel-control",
 		Register:  settings.Register,
 		Telemetry: &settings.Telemetry,
+		Recover:   settings.Recover,
 		New:       func(logger *slog.Logger) (daemon.Daemon, error) { return control.New(&settings, logger) },
 	}))
 }
--- a/control/orders.go
+++ b/control/orders.go
@@ -12,6 +12,7 @@
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/control/reconcile"
+	endpoints "github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/link"
 )
@@ -117,7 +118,8 @@
 	}
 	engines := []reconcile.Endpoint{}
 	for _, endpoint := range configuration.GetEndpoints() {
-		if !endpoint.GetLive() || endpoint.GetKind() != fleetv1.EndpointKind_ENDPOINT_KIND_ENGINE {
+		gated := endpoint.GetAgentAddr() != "" && endpoint.GetRole() != endpoints.RoleRank
+		if !gated || !endpoint.GetLive() || endpoint.GetKind() != fleetv1.EndpointKind_ENDPOINT_KIND_ENGINE {
 			continue
 		}
 		engines = append(engines, reconcile.Endpoint{
--- a/control/providers.go
+++ b/control/providers.go
@@ -25,6 +25,7 @@
 		ElectionTimeout:   s.ElectionTimeout,
 		HeartbeatInterval: s.HeartbeatInterval,
 		RepairAfter:       s.RepairAfter,
+		Voters:            s.Voters,
 		SnapshotEvery:     uint64(s.SnapshotEvery),
 		Logger:            logger,
 		DialOptions:       dial,
@@ -69,8 +70,8 @@
 	return []driver{orders.drive, finish.drive, maps.drive}
 }
 
-func newService(log *server.Server, state *contract.State, t *terms, pool *link.Pool, r *reports) *service {
-	return &service{log: log, state: state, leadership: t, pool: pool, members: members{log: log}, reports: r}
+func newService(log *server.Server, state *contract.State, t *terms, pool *link.Pool, r *reports, published *source) *service {
+	return &service{log: log, state: state, leadership: t, pool: pool, members: members{log: log}, reports: r, published: published}
 }
 
 func newCalls() *calls { return &calls{} }
--- a/control/service.go
+++ b/control/service.go
@@ -32,6 +32,7 @@
 	pool       *link.Pool
 	members    members
 	reports    *reports
+	published  *source
 }
 
 // Plan implements controlv1.ControlServer.
@@ -81,7 +82,11 @@
 		// An endpoint that announces itself does not look for the leader.
 		direct: request.GetAddr() != "",
 	}
-	return d.run(ctx)
+	response, err := d.run(ctx)
+	if err == nil && s.published != nil {
+		response.Replicas = s.published.Replicas()
+	}
+	return response, err
 }
 
 // Publish implements controlv1.ControlServer.
--- a/control/settings.go
+++ b/control/settings.go
@@ -42,6 +42,9 @@
 	// RepairAfter is how long a voter must be silent before a blank disk takes its
 	// place as a learner; ten election timeouts if zero.
 	RepairAfter time.Duration
+	// Voters is the number of voters that the cluster keeps by itself; zero leaves
+	// members to the operator.
+	Voters int
 	// SnapshotEvery is the number of log entries between two snapshots.
 	SnapshotEvery int
 
@@ -82,6 +85,7 @@
 	set.String(&s.DataDir, "data-dir", "", "folder of the replicated log, on a disk of its own", setting.Required)
 	set.Bool(&s.Join, "join", false, "join an existing cluster with a blank disk")
 	s.registerTimes(set)
+	set.Int(&s.Voters, "voters", 0, "number of voters that the cluster keeps by itself, taking in replicas with blank disks in the place of those that are gone; 0 leaves members to the operator", setting.Min(0))
 	set.Int(&s.SnapshotEvery, "snapshot-every", server.DefaultSnapshotEvery, "log entries between two snapshots", setting.Min(1))
 	set.Int(&s.Loads, "loads", defaultLoads, "loads through the weight store at the same time", setting.Min(1))
 	set.Float(&s.LoadShare, "load-share", defaultLoadShare, "greatest share of a pool's endpoints that load at the same time; one always may", setting.Min(0.0), setting.Max(1.0))
--- a/control/source.go
+++ b/control/source.go
@@ -7,12 +7,52 @@
 	"time"
 
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	replicav1 "github.com/lilackeel/lilackeel/api/replica/v1"
+	"github.com/lilackeel/lilackeel/replica/server"
 )
 
 // source publishes the replica's state on the feed.
 type source struct {
 	*machine
 	confirmed confirmed
+	replicas  knownReplicas
+}
+
+// membershipReader tells the present membership; *server.Server is one.
+type membershipReader interface{ Status() server.Status }
+
+// knownReplicas are the addresses of the members, as they were last read.
+type knownReplicas struct {
+	mu    sync.Mutex
+	addrs []string
+}
+
+func (k *knownReplicas) set(addrs []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.addrs = addrs
+}
+
+func (k *knownReplicas) get() []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.addrs
+}
+
+// Replicas implements feed.ReplicaSource.
+func (s *source) Replicas() []string { return s.replicas.get() }
+
+// readMembers reads the membership, voters first.
+func (s *source) readMembers(log membershipReader) {
+	var voters, others []string
+	for _, member := range log.Status().Membership.GetMembers() {
+		if member.GetRole() == replicav1.Role_ROLE_VOTER {
+			voters = append(voters, member.GetAddr())
+		} else {
+			others = append(others, member.GetAddr())
+		}
+	}
+	s.replicas.set(append(voters, others...))
 }
 
 // confirmed is the latest reading that a quorum confirmed.
@@ -68,6 +108,9 @@
 		_, err := log.ReadIndex(ctx)
 		if err == nil {
 			s.confirmed.set(s.state.Revision(), at)
+			if reader, ok := log.(membershipReader); ok {
+				s.readMembers(reader)
+			}
 		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
--- a/control/wire_gen.go
+++ b/control/wire_gen.go
@@ -32,7 +32,7 @@
 	controlReports := newReports(settings, server, state, feedServer, pool)
 	v2 := newDrivers(settings, server, state, pool, controlReports, logger)
 	controlTerms := newTerms(settings, server, state, v2, logger)
-	controlService := newService(server, state, controlTerms, pool, controlReports)
+	controlService := newService(server, state, controlTerms, pool, controlReports, controlSource)
 	controlCalls := newCalls()
 	grpcServer, err := newServer(settings, server, controlService, feedServer, controlCalls)
 	if err != nil {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -18,9 +18,8 @@
 // flushTimeout bounds sending the last spans at the end.
 const flushTimeout = 3 * time.Second
 
-// fullDiskPause is the time between two starts of a daemon whose disk is full.
-// Ending would not free any space, and the next process would end the same way.
-const fullDiskPause = 500 * time.Millisecond
+// recoverPause is the time before a daemon that has failed is assembled anew.
+const recoverPause = 300 * time.Millisecond
 
 // Daemon is an assembled daemon.
 type Daemon interface {
@@ -45,6 +44,9 @@
 	// registers all settings anew, reads them with parse, and returns its error,
 	// upon which everything stays as it was. Nil: a reload changes nothing.
 	Reload func(d Daemon, parse func(*setting.Set) error) error
+	// Recover is asked when the daemon has failed: it may remove the cause and
+	// return true, and the daemon is assembled anew. Nil: a failure ends it.
+	Recover func(err error, logger *slog.Logger) bool
 	// Args are the arguments; nil for those of the process.
 	Args []string
 }
@@ -74,12 +76,9 @@
 	defer stop()
 	reloads := &reloader{program: p, file: set.File(), logger: logger, hangup: hangup}
 	err := p.run(ctx, logger, reloads)
-	for errors.Is(err, syscall.ENOSPC) && ctx.Err() == nil {
-		logger.Warn("the disk is full; the daemon waits for space", slog.Any("error", err), slog.Duration("pause", fullDiskPause))
-		pause(ctx, fullDiskPause)
-		if ctx.Err() == nil {
-			err = p.run(ctx, logger, reloads)
-		}
+	for err != nil && ctx.Err() == nil && p.Recover != nil && p.Recover(err, logger) {
+		pause(ctx, recoverPause)
+		err = p.run(ctx, logger, reloads)
 	}
 	if err != nil {
 		logger.Error("the daemon failed", slog.Any("error", err))
--- a/feed/client.go
+++ b/feed/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,6 +86,23 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.cfg.Sources, c.sources = sources, sources
+}
+
+// learn puts the control replicas that a source has named before the sources of
+// the settings: those may be of long ago.
+func (c *Client) learn(replicas []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sources := slices.Clone(replicas)
+	for _, set := range c.cfg.Sources {
+		if !slices.Contains(sources, set) {
+			sources = append(sources, set)
+		}
+	}
+	if !slices.Equal(sources, c.sources) {
+		c.cfg.Logger.Info("learnt the control replicas", slog.Any("replicas", replicas))
+	}
 	c.sources = sources
 }
 
--- a/feed/server.go
+++ b/feed/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,12 @@
 	Freshness() (revision uint64, at time.Time, ok bool)
 }
 
+// ReplicaSource is a Source that knows where the control replicas are.
+type ReplicaSource interface {
+	// Replicas returns their addresses, host:port, in a stable order.
+	Replicas() []string
+}
+
 // Server publishes a source to any number of watchers. A watcher has no queue:
 // what it has not been sent yet is joined into one delta, or one snapshot, at
 // the moment at which it can take more. A slow one therefore costs a constant
@@ -93,11 +100,28 @@
 	hello  *controlv1.Hello
 	// sent is the revision that the daemon has been brought to.
 	sent uint64
+	// replicas are the control replicas that the daemon has been told.
+	replicas []string
 	// pings holds the latest ping that waits for its answer. A newer ping
 	// replaces it: answering the newer one tells the daemon more.
 	pings chan uint64
 }
 
+// newReplicas returns the control replicas if the daemon has not been told them on
+// this stream; a source that does not know them has none.
+func (w *watcher) newReplicas() []string {
+	known, ok := w.server.source.(ReplicaSource)
+	if !ok {
+		return nil
+	}
+	replicas := known.Replicas()
+	if slices.Equal(replicas, w.replicas) {
+		return nil
+	}
+	w.replicas = replicas
+	return replicas
+}
+
 // receivePings takes pings in until the stream ends.
 func (w *watcher) receivePings() {
 	for {
@@ -165,7 +189,7 @@
 	if err := w.sendChanges(); err != nil {
 		return err
 	}
-	pong := &controlv1.Pong{Seq: seq, Revision: revision, Known: known}
+	pong := &controlv1.Pong{Seq: seq, Revision: revision, Known: known, Replicas: w.newReplicas()}
 	if known {
 		pong.AgeMs = ageMillis(time.Since(at))
 	}
--- a/feed/watch.go
+++ b/feed/watch.go
@@ -181,6 +181,9 @@
 // receive takes one message in: the callbacks run first, then the revision is
 // shown, and only then it is acknowledged and its confirmation counts.
 func (c *Client) receive(message *controlv1.WatchResponse) error {
+	if replicas := message.GetPong().GetReplicas(); len(replicas) > 0 {
+		c.learn(replicas)
+	}
 	now := time.Now()
 	c.mu.Lock()
 	step, err := c.follower.Receive(now, message)
--- a/rankhost/announce.go
+++ b/rankhost/announce.go
@@ -62,10 +62,14 @@
 	if ok {
 		request.Endpoints = []*fleetv1.Endpoint{a.record(status)}
 	}
-	return a.finder.Ask(ctx, func(ctx context.Context, client controlv1.ControlClient) error {
-		_, err := client.Announce(ctx, request)
+	var response *controlv1.AnnounceResponse
+	err := a.finder.Ask(ctx, func(ctx context.Context, client controlv1.ControlClient) error {
+		var err error
+		response, err = client.Announce(ctx, request)
 		return err
 	})
+	a.finder.SetAddrs(response.GetReplicas())
+	return err
 }
 
 // record says where a rank is served. A group that does not run is not named, so
--- a/replica/config.go
+++ b/replica/config.go
@@ -44,6 +44,9 @@
 	// RepairAfter is how long a member must be silent before a blank disk may
 	// take its place.
 	RepairAfter time.Duration
+	// Voters is the number of voters that the cluster keeps by itself, taking
+	// unknown replicas with blank disks in; zero leaves members to the operator.
+	Voters int
 	// AdmissionWait is how long a started replica waits for all witnesses before
 	// it makes do with a quorum.
 	AdmissionWait time.Duration
--- a/replica/election.go
+++ b/replica/election.go
@@ -190,6 +190,7 @@
 	}
 	// Rounds of reads put the next heartbeat off, but must not the promotion.
 	n.promoteCaughtUp()
+	n.useReserve()
 }
 
 // activeVoters counts the voters of membership heard of within an election
--- a/replica/join.go
+++ b/replica/join.go
@@ -166,7 +166,11 @@
 // taken for lost.
 func (n *Node) replaceDisk(m *pb.Message) {
 	member := FindMember(n.members.current(), m.GetFrom())
-	if member == nil || member.GetDisk() == m.GetDisk() {
+	if member == nil {
+		n.takeIn(m)
+		return
+	}
+	if member.GetDisk() == m.GetDisk() {
 		return
 	}
 	pr := n.progress[member.GetId()]
--- a/replica/server/server.go
+++ b/replica/server/server.go
@@ -72,6 +72,9 @@
 	// RepairAfter is how long a voter must be silent before a blank disk takes
 	// its place as a learner; ten election timeouts if zero.
 	RepairAfter time.Duration
+	// Voters is the number of voters that the cluster keeps by itself; zero leaves
+	// members to the operator.
+	Voters int
 	// SnapshotEvery is the number of entries between two snapshots.
 	SnapshotEvery uint64
 	// Trailing is the number of entries kept behind a snapshot.
@@ -196,7 +199,7 @@
 // node returns the settings of the node.
 func (c *Config) node(label *pb.DiskLabel) replica.Config {
 	return replica.Config{
-		ID: c.ID, Addr: c.Addr, Disk: label, Boot: randomNumber(), Peers: c.Peers, Join: c.Join,
+		ID: c.ID, Addr: c.Addr, Disk: label, Boot: randomNumber(), Peers: c.Peers, Join: c.Join, Voters: c.Voters,
 		ElectionTimeout: c.ElectionTimeout, HeartbeatInterval: c.HeartbeatInterval,
 		RepairAfter: c.RepairAfter, Trailing: c.Trailing,
 		Rand: mathrand.New(mathrand.NewPCG(randomNumber(), randomNumber())),
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -113,6 +113,7 @@
 	terms     map[uint64]uint64 // of the entry applied at an index
 	history   []*operation
 	nextValue uint64
+	voters    int                    // Config.Voters
 	intercept func(*pb.Message) bool // true loses the message
 }
 
@@ -226,7 +227,7 @@
 	label := &pb.DiskLabel{Identity: h.disk.label.Identity, Incarnation: h.disk.label.Incarnation}
 	node, err := New(Config{
 		ID: h.id, Addr: fmt.Sprint("host-", h.id), Disk: label, Boot: h.sim.rand.Uint64(), Peers: h.sim.peers, Join: h.join,
-		ElectionTimeout: h.sim.election, HeartbeatInterval: h.sim.heartbeat, RepairAfter: 4 * h.sim.election, Trailing: 3,
+		ElectionTimeout: h.sim.election, HeartbeatInterval: h.sim.heartbeat, RepairAfter: 4 * h.sim.election, Trailing: 3, Voters: h.sim.voters,
 		MaxInflight: 4, MaxAppendBytes: 200, Rand: rand.New(rand.NewPCG(h.sim.rand.Uint64(), 2)),
 	}, saved, h.now())
 	if err != nil {
--- a/telemetry/install.go
+++ b/telemetry/install.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"os"
 	"strings"
+	"sync"
+	"time"
 
 	"go.opentelemetry.io/otel"
 	"google.golang.org/grpc/grpclog"
@@ -15,24 +17,71 @@
 // the log is JSON lines. A daemon calls it once, before it makes connections.
 func Install(logger *slog.Logger) {
 	slog.SetDefault(logger)
-	grpclog.SetLoggerV2(&grpcLogger{logger.With("library", "grpc")})
+	grpclog.SetLoggerV2(&grpcLogger{logger: logger.With("library", "grpc"), last: map[string]time.Time{}})
 	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
 		logger.Warn("spans cannot be exported", "library", "opentelemetry", "error", err)
 	}))
 }
 
-// grpcLogger writes the warnings and errors of gRPC to a logger. It implements
-// grpclog.LoggerV2.
-type grpcLogger struct{ logger *slog.Logger }
+const (
+	// repeatAfter is the time after which a warning of gRPC is written again; while
+	// a peer is away the library repeats it several times a second.
+	repeatAfter = 30 * time.Second
+	// maxRemembered bounds the warnings that are remembered.
+	maxRemembered = 256
+	// warningPrefix is how much of a warning tells it from others, in bytes: what
+	// follows numbers channels and attempts.
+	warningPrefix = 48
+)
+
+// grpcLogger writes the warnings and errors of gRPC to a logger, each kind once in
+// repeatAfter. It implements grpclog.LoggerV2.
+type grpcLogger struct {
+	logger *slog.Logger
+
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+// warn writes a warning unless one like it was written a moment ago.
+func (g *grpcLogger) warn(message string) {
+	if g.repeated(message, time.Now()) {
+		return
+	}
+	g.logger.Warn(message)
+}
+
+// repeated notes a warning and reports whether one like it is recent. Digits do
+// not tell warnings apart.
+func (g *grpcLogger) repeated(message string, now time.Time) bool {
+	kind := strings.Map(func(r rune) rune {
+		if r >= '0' && r <= '9' {
+			return -1
+		}
+		return r
+	}, message)
+	kind = kind[:min(len(kind), warningPrefix)]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before, known := g.last[kind]
+	if known && now.Sub(before) < repeatAfter {
+		return true
+	}
+	if len(g.last) >= maxRemembered {
+		clear(g.last)
+	}
+	g.last[kind] = now
+	return false
+}
 
 func (g *grpcLogger) Info(...any)          {}
 func (g *grpcLogger) Infoln(...any)        {}
 func (g *grpcLogger) Infof(string, ...any) {}
 
-func (g *grpcLogger) Warning(args ...any)   { g.logger.Warn(fmt.Sprint(args...)) }
-func (g *grpcLogger) Warningln(args ...any) { g.logger.Warn(sprintln(args...)) }
+func (g *grpcLogger) Warning(args ...any)   { g.warn(fmt.Sprint(args...)) }
+func (g *grpcLogger) Warningln(args ...any) { g.warn(sprintln(args...)) }
 func (g *grpcLogger) Warningf(format string, args ...any) {
-	g.logger.Warn(fmt.Sprintf(format, args...))
+	g.warn(fmt.Sprintf(format, args...))
 }
 
 func (g *grpcLogger) Error(args ...any)                 { g.logger.Error(fmt.Sprint(args...)) }
