--- /dev/null
+++ b/contract/site_test.go
@@ -0,0 +1,139 @@
+package contract
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/fault"
+)
+
+func testSite(version uint64) *fleetv1.Site {
+	return &fleetv1.Site{
+		Version: version, Document: []byte("the operator's own words"),
+		Pools: []*fleetv1.Pool{{Name: "a"}, {Name: "b"}},
+		Routes: []*fleetv1.Route{
+			{Name: "one", Host: "x.example", PathPrefix: "/a/", Kind: fleetv1.CallKind_CALL_KIND_SINGLE, TimeoutMs: 1000, Splits: []*fleetv1.Split{{Pool: "a", Weight: 1}}},
+			{Name: "two", Host: "x.example", PathPrefix: "/b/", Kind: fleetv1.CallKind_CALL_KIND_STREAM, TimeoutMs: 1000, Splits: []*fleetv1.Split{{Pool: "a"}, {Pool: "b", Weight: 2}}},
+		},
+		Workspaces: []*fleetv1.Workspace{{Name: "w", KeyDigests: []string{"d1", "d2"}}, {Name: "v", KeyDigests: []string{"d3"}}},
+	}
+}
+
+// publish applies a site as the next command.
+func publish(t *testing.T, s *State, site *fleetv1.Site) *Result {
+	t.Helper()
+	data, err := EncodePublish(1, site)
+	if err != nil {
+		t.Fatal(err)
+	}
+	index, term := s.Applied()
+	return s.Apply(index+1, max(term, 1), data).(*Result)
+}
+
+func TestTheHighestVersionIsInForce(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	is.True(s.Site() == nil)
+	is.True(publish(t, s, testSite(7)).Err == nil)
+	revision := s.Revision()
+	for _, version := range []uint64{7, 3, 0} { // resent, overtaken
+		other := testSite(version)
+		other.Document = []byte("something else")
+		other.Routes = other.Routes[:1]
+		is.True(publish(t, s, other).Err == nil) // confirmed
+		is.Equal(s.Revision(), revision)         // and changes nothing
+		is.Equal(string(s.Site().GetDocument()), "the operator's own words")
+	}
+	is.True(publish(t, s, testSite(9)).Err == nil)
+	is.Equal(s.Site().GetVersion(), uint64(9))
+	is.Equal(s.Revision(), revision+1)
+}
+
+func TestAnInvalidSiteIsRefusedWhateverItsVersion(t *testing.T) {
+	for name, spoil := range map[string]func(*fleetv1.Site){
+		"unknown pool":      func(s *fleetv1.Site) { s.Routes[0].Splits[0].Pool = "c" },
+		"pool twice":        func(s *fleetv1.Site) { s.Pools[1].Name = "a" },
+		"same place":        func(s *fleetv1.Site) { s.Routes[1].Host, s.Routes[1].PathPrefix = "X.example", "/a/" },
+		"no weight":         func(s *fleetv1.Site) { s.Routes[1].Splits[1].Weight = 0 },
+		"negative weight":   func(s *fleetv1.Site) { s.Routes[1].Splits[0].Weight = -1 },
+		"no split":          func(s *fleetv1.Site) { s.Routes[0].Splits = nil },
+		"no timeout":        func(s *fleetv1.Site) { s.Routes[0].TimeoutMs = 0 },
+		"no kind":           func(s *fleetv1.Site) { s.Routes[0].Kind = 0 },
+		"prefix no slash":   func(s *fleetv1.Site) { s.Routes[0].PathPrefix = "/a" },
+		"shared key":        func(s *fleetv1.Site) { s.Workspaces[1].KeyDigests = []string{"d2"} },
+		"workspace twice":   func(s *fleetv1.Site) { s.Workspaces[1].Name = "w" },
+		"nameless pool":     func(s *fleetv1.Site) { s.Pools[0].Name = "" },
+		"prefix not begun":  func(s *fleetv1.Site) { s.Routes[0].PathPrefix = "a/" },
+		"missing workspace": func(s *fleetv1.Site) { s.Workspaces[0].Name = "" },
+	} {
+		for _, version := range []uint64{1, 5, 9} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				s := NewState()
+				is.True(publish(t, s, testSite(5)).Err == nil)
+				before := s.Revision()
+				bad := testSite(version)
+				spoil(bad)
+				is.Equal(fault.KindOf(publish(t, s, bad).Err), fault.Invalid)
+				is.Equal(s.Revision(), before)
+				is.Equal(s.Site().GetVersion(), uint64(5))
+			})
+		}
+	}
+}
+
+// Daemons get the site without the document, by delta and as a whole; a restored
+// replica gives the document back.
+func TestTheSiteReachesDaemonsAndSurvivesASnapshot(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	publish(t, s, testSite(1))
+	revision := s.Revision()
+	publish(t, s, testSite(2))
+	delta, ok := s.DeltaSince(revision)
+	is.True(ok)
+	is.Equal(delta.GetSite().GetVersion(), uint64(2))
+	is.Equal(len(delta.GetSite().GetDocument()), 0)
+	is.Equal(len(s.Configuration().GetSite().GetDocument()), 0)
+	is.Equal(len(s.Configuration().GetSite().GetRoutes()), 2)
+	data, err := s.Snapshot()
+	is.NoErr(err)
+	restored := NewState()
+	is.NoErr(restored.Restore(data))
+	is.True(proto.Equal(restored.Site(), s.Site()))
+	again, err := restored.Snapshot()
+	is.NoErr(err)
+	is.Equal(again, data)
+}
+
+// An endpoint that announces itself and has said that it leaves never comes back
+// under its id, whatever a late announcement says.
+func TestALeavingEndpointDoesNotComeBack(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	announce := func(stopping bool) {
+		request := ownAnnouncement(stopping)
+		data, err := EncodeAnnounce(1, request)
+		is.NoErr(err)
+		index, _ := s.Applied()
+		is.True(s.Apply(index+1, 1, data).(*Result).Err == nil)
+	}
+	announce(false)
+	is.Equal(s.Endpoint("e").GetState(), fleetv1.EndpointState_ENDPOINT_STATE_SERVING)
+	announce(true)
+	is.Equal(s.Endpoint("e").GetState(), fleetv1.EndpointState_ENDPOINT_STATE_LEAVING)
+	announce(false)
+	is.Equal(s.Endpoint("e").GetState(), fleetv1.EndpointState_ENDPOINT_STATE_LEAVING)
+}
+
+// ownAnnouncement is what an endpoint says of itself.
+func ownAnnouncement(stopping bool) *controlv1.AnnounceRequest {
+	return &controlv1.AnnounceRequest{
+		Agent: "e", Incarnation: 1, Full: true, Stopping: stopping,
+		Endpoints: []*fleetv1.Endpoint{{Id: "e", Addr: "10.0.0.1:80", Pool: "a"}},
+	}
+}
--- a/routed/request.go
+++ b/routed/request.go
@@ -155,7 +155,10 @@
 	left := min(s.config.BodyTimeout, max(q.deadline-s.clock(), time.Millisecond))
 	_ = control.SetReadDeadline(time.Now().Add(left))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
-	_ = control.SetReadDeadline(time.Time{})
+	if err == nil {
+		// After a fault it stays, or the server would wait for the rest of the body.
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	var timeout net.Error
 	switch {
