Give an order that was not answered again at once

Cause: while engines leave orders unanswered, each of a switch's steps waited 250 ms for an answer that an engine on the same host gives in a few.

Change: 60 ms for the answer, the next try at once unless a copy was taken on.

--- a/rankhost/host.go
+++ b/rankhost/host.go
@@ -11,6 +11,7 @@
 	"github.com/lilackeel/lilackeel/agent/tally"
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/group/mapswitch"
 	"github.com/lilackeel/lilackeel/group/mapwire"
 )
@@ -19,14 +20,14 @@
 	// busyPoll is the time between two looks at the engine during a switch, of
 	// which each costs the group nothing.
 	busyPoll = 15 * time.Millisecond
-	// orderTimeout bounds the wait for an engine's answer to an order; its status
-	// tells the rest.
-	orderTimeout = 250 * time.Millisecond
+	// orderTimeout bounds the wait for the answer to an order, many times what an
+	// engine on the same host takes; its status tells the rest.
+	orderTimeout = 60 * time.Millisecond
 	// statusTimeout bounds one look at the engine.
 	statusTimeout = time.Second
-	// prepareRetry is the pause between two orders to prepare a map, which takes
-	// many looks.
-	prepareRetry = 300 * time.Millisecond
+	// prepareRetry is the pause between two orders to prepare a map if the first
+	// was answered: copying takes many looks.
+	prepareRetry = 1500 * time.Millisecond
 	// slowOrder is the pause after an order that changed nothing.
 	slowOrder = 50 * time.Millisecond
 )
@@ -65,9 +66,11 @@
 	outbox map[mapswitch.Kind]mapswitch.Message
 	// reading is set while the record is read, and fetching while a map is.
 	reading, fetching bool
-	// last is the last order given, and when.
-	last   Order
-	lastAt time.Time
+	// last is the last order given, and when; answered says that the engine took
+	// it on.
+	last     Order
+	lastAt   time.Time
+	answered bool
 	// changed closes when what is announced of the rank has changed.
 	changed chan struct{}
 }
@@ -127,7 +130,10 @@
 	err := h.cfg.Engine.Give(limited, order)
 	h.cfg.Logger.Info("gave an order to the engine", slog.String("order", order.Kind.String()),
 		slog.Uint64("version", order.Version), slog.Uint64("step", order.Step), slog.Uint64("formation", order.Formation), slog.Any("error", err))
-	if err != nil {
+	h.mu.Lock()
+	h.answered = err == nil
+	h.mu.Unlock()
+	if fault.Is(err, fault.Conflict) {
 		return slowOrder
 	}
 	return 0
@@ -200,15 +206,16 @@
 		return Order{}, false
 	}
 	repeated := order.Kind == h.last.Kind && order.Version == h.last.Version && order.Step == h.last.Step && order.Formation == h.last.Formation
-	if repeated && time.Since(h.lastAt) < repeatAfter(order.Kind) {
+	if repeated && time.Since(h.lastAt) < h.repeatAfter(order.Kind) {
 		return Order{}, false
 	}
-	h.last, h.lastAt = order, time.Now()
+	h.last, h.lastAt, h.answered = order, time.Now(), false
 	return order, true
 }
 
-func repeatAfter(kind OrderKind) time.Duration {
-	if kind == Prepare {
+// repeatAfter is the least time between two orders of a kind; the lock is held.
+func (h *Host) repeatAfter(kind OrderKind) time.Duration {
+	if kind == Prepare && h.answered {
 		return prepareRetry
 	}
 	return busyPoll
