Serve in time first, and judge a wait by all who wait

Change: a wait is at most that of all who wait; late requests take only places that nobody else waits for, up to half of their time left; an address belongs to the endpoint announced last; the limit of a pool is logged when it changes.

--- a/endpoint/view.go
+++ b/endpoint/view.go
@@ -119,10 +119,10 @@
 			next.remember(e, touched, added)
 		}
 	}
+	next.indexAddrs(c)
 	for key := range touched {
 		next.rebuild(key, c, added[key])
 	}
-	next.indexAddrs(c)
 	return next
 }
 
@@ -179,6 +179,7 @@
 		}
 	}
 	list = append(list, added...)
+	list = slices.DeleteFunc(list, v.replaced)
 	if len(list) == 0 {
 		delete(v.serving, key)
 		return
@@ -187,6 +188,16 @@
 	v.serving[key] = list
 }
 
+// replaced reports whether another endpoint has been announced at the endpoint's
+// own address since, so that it has ended, whatever its lease says.
+func (v *View) replaced(e *Endpoint) bool {
+	if e.Addr == "" {
+		return false
+	}
+	present := v.byAddr[e.Addr]
+	return present != nil && present.ID != e.ID
+}
+
 // keys returns the keys under which the endpoint is found.
 func (e *Endpoint) keys() []Key {
 	adapters := append([]string{""}, e.Adapters...)
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -8,6 +8,7 @@
 
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/workspace"
 )
 
@@ -46,6 +47,26 @@
 	return a.AdmitTo(ctx, r.Pool, workspace.Request{Workspace: r.Workspace, Priority: r.Priority, Cost: r.Tokens})
 }
 
+// latePoll is the time between two looks of a late request for a place.
+const latePoll = 40 * time.Millisecond
+
+// AdmitLate implements routed.Admitter. A late request does not queue with the
+// others, whose workspaces would have to share places with it.
+func (a *Admissions) AdmitLate(ctx context.Context, pool string, r workspace.Request, patience time.Duration) (func(), error) {
+	gate := a.gate(pool)
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for {
+		if load := gate.Load(); load.Queued == 0 && load.InFlight < load.Slots {
+			return a.AdmitTo(ctx, pool, r)
+		}
+		sleep(ctx, latePoll)
+		if ctx.Err() != nil {
+			return nil, fault.New(fault.Overloaded, "not run: no place was left for a request that is late already", "ask again after the given time").After(a.policy.MaxRetryAfter)
+		}
+	}
+}
+
 // SetPlaces implements routed.Places.
 func (a *Admissions) SetPlaces(pool string, places int) { a.gate(pool).SetCapacity(places) }
 
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -195,11 +195,18 @@
 func (a *attempt) part() {
 	now := a.server.clock()
 	a.parts++
-	if a.parts == 1 {
-		a.first = now
-		a.server.Loads.FirstToken(a.first, &a.load)
+	pause := now - a.latest
+	switch {
+	case a.parts == 1:
+		a.began = now
+		a.server.Loads.FirstToken(now, &a.load)
+	default:
+		a.server.throttle.observe(a.target.Pool, now, pause)
+	}
+	if a.first == 0 {
+		a.first = now - a.request.arrived
 	} else {
-		a.server.throttle.observe(a.target.Pool, now, now-a.latest)
+		a.longest = max(a.longest, pause)
 	}
 	a.latest = now
 }
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -47,6 +47,11 @@
 	target  endpoint.Endpoint
 	outcome string
 	reason  string
+	// placed, first and longest are the times from the request's arrival to its
+	// place and to the first part of its answer, and its longest pause after that.
+	placed, first, longest time.Duration
+	// latest is when the last part of the answer came.
+	latest time.Duration
 }
 
 // run returns false when the connection must be aborted.
@@ -57,14 +62,13 @@
 		Backoff: s.config.Backoff, RetryAfter: s.config.RetryAfter, Budget: s.Budget, Rand: sharedRand,
 	})
 	admitted, cancel := context.WithTimeout(x.caller, max(q.deadline-s.clock(), 0))
-	release, err := s.Admitter.AdmitTo(admitted, q.pool, workspace.Request{
-		Workspace: q.workspace.GetName(), Priority: q.rank(), Deadline: q.deadline, Cost: q.work.PromptTokens + q.work.MaxTokens,
-	})
+	release, err := x.admit(admitted)
 	cancel()
 	if err != nil {
 		return x.end(x.machine.GiveUp(s.clock(), asFault(err)))
 	}
 	defer release()
+	x.placed = s.clock() - q.arrived
 	if last, err := strconv.ParseInt(q.header.Get(headerLastEvent), 10, 64); err == nil {
 		x.events.From(last)
 	}
@@ -88,6 +92,20 @@
 	}
 }
 
+// admit waits for a place. What can still be answered in time goes first: as many
+// requests are served either way, so most are to be served in time. What is late
+// already takes the places that are left.
+func (x *exchange) admit(ctx context.Context) (release func(), err error) {
+	s, q := x.server, x.request
+	r := workspace.Request{
+		Workspace: q.workspace.GetName(), Priority: -q.priority, Deadline: q.deadline, Cost: q.work.PromptTokens + q.work.MaxTokens,
+	}
+	if q.inTime() {
+		return s.Admitter.AdmitTo(ctx, q.pool, r)
+	}
+	return s.Admitter.AdmitLate(ctx, q.pool, r, q.patience())
+}
+
 // attemptResult is how an attempt ended.
 type attemptResult struct {
 	// done is true when the caller has all that it will get; abort then closes
@@ -241,6 +259,7 @@
 		slog.String("request_id", q.id), slog.String("route", q.route.GetName()), slog.Uint64("version", q.version),
 		slog.String("workspace", q.workspace.GetName()), slog.String("pool", q.pool), slog.String("endpoint", x.target.ID),
 		slog.Int("attempts", len(x.tried)), slog.String("outcome", x.outcome), slog.Int("status", status),
+		slog.Duration("placed", x.placed), slog.Duration("first", x.first), slog.Duration("longest_pause", x.longest),
 		slog.Duration("took", took), slog.Duration("left", q.deadline-s.clock()), slog.String("reason", x.reason))
 	return clean
 }
@@ -262,10 +281,9 @@
 	*exchange
 	load    load.Call
 	started time.Duration
-	// first and latest are when the first and the last part of the answer came,
-	// parts how many came.
-	first, latest time.Duration
-	parts         int
+	// began is when the first part of the answer came, parts how many came.
+	began time.Duration
+	parts int
 }
 
 // unanswered ends an attempt that has not brought the head of an answer.
@@ -301,7 +319,7 @@
 	case a.request.route.GetKind() != fleetv1.CallKind_CALL_KIND_STREAM:
 		return now - a.started
 	case a.parts > 1:
-		return (now - a.first) / time.Duration(a.parts-1)
+		return (now - a.began) / time.Duration(a.parts-1)
 	}
 	return 0
 }
--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -40,6 +40,10 @@
 	return func() {}, nil
 }
 
+func (open) AdmitLate(context.Context, string, workspace.Request, time.Duration) (func(), error) {
+	return func() {}, nil
+}
+
 // bed is an entry before endpoints that a test scripts.
 type bed struct {
 	t      *testing.T
--- a/routed/request.go
+++ b/routed/request.go
@@ -70,22 +70,21 @@
 	return q, s.readBody(w, r, q, table)
 }
 
-// waitedStep is the time already waited elsewhere that lifts a request by one
-// rank among those of its workspace.
-const waitedStep = 500 * time.Millisecond
-
-// rank orders the requests of one workspace that wait for a place, higher first:
-// by the rank of the workspace or route, and among equals by how much of the
-// route's time is gone. A caller that comes back after a refusal has less left,
-// and is not to be refused for the sake of one that has just come.
-func (q *request) rank() int {
+// inTime reports whether the request can still be answered within its route's
+// objective: its caller has not waited elsewhere for longer than that.
+func (q *request) inTime() bool {
 	whole := time.Duration(q.route.GetTimeoutMs()) * time.Millisecond
-	gone := max(whole-(q.deadline-q.arrived), 0)
-	return int(min(gone/waitedStep, ranksPerPriority-1)) - ranksPerPriority*q.priority
+	objective := time.Duration(q.route.GetObjectiveMs()) * time.Millisecond
+	return objective <= 0 || whole-(q.deadline-q.arrived) < objective
 }
 
-// ranksPerPriority keeps the time that is gone from outweighing a priority.
-const ranksPerPriority = 64
+// patience is how long a request that is late already may wait for a place: it
+// loses nothing by waiting, if there is time enough left for its answer.
+func (q *request) patience() time.Duration { return max((q.deadline-q.arrived)/latePatience, 1) }
+
+// latePatience is the part of the time left, as a divisor, that a late request may
+// wait for a place.
+const latePatience = 2
 
 // target returns path and query byte for byte.
 func target(r *http.Request) string {
--- a/routed/server.go
+++ b/routed/server.go
@@ -27,6 +27,8 @@
 type Admitter interface {
 	// AdmitTo waits for a place in a pool at most until ctx ends.
 	AdmitTo(ctx context.Context, pool string, r workspace.Request) (release func(), err error)
+	// AdmitLate waits up to patience for a place that nobody else waits for.
+	AdmitLate(ctx context.Context, pool string, r workspace.Request, patience time.Duration) (release func(), err error)
 }
 
 // Picker chooses the endpoint of a call; pick.Picker is one.
--- a/routed/throttle.go
+++ b/routed/throttle.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"log/slog"
 	"math"
 	"sync"
 	"time"
@@ -31,10 +32,11 @@
 	mu       sync.Mutex
 	limiters map[string]*concurrency.Limiter
 	configs  map[string]concurrency.Config
+	logged   map[string]loggedLimit
 }
 
 func newThrottle() *throttle {
-	return &throttle{limiters: map[string]*concurrency.Limiter{}, configs: map[string]concurrency.Config{}}
+	return &throttle{limiters: map[string]*concurrency.Limiter{}, configs: map[string]concurrency.Config{}, logged: map[string]loggedLimit{}}
 }
 
 // limiter returns the limiter of a pool; the lock is held.
@@ -82,8 +84,38 @@
 			cfg.Fixed = time.Duration(engine.GetStepMs() * float64(max(engine.GetStride(), 1)) * float64(time.Millisecond))
 		}
 		limit := s.throttle.update(pool.GetName(), now, cfg, load.running)
-		places.SetPlaces(pool.GetName(), load.places(limit))
+		granted := load.places(limit)
+		places.SetPlaces(pool.GetName(), granted)
+		if s.throttle.notable(pool.GetName(), now, limit) {
+			s.Logger.Info("limited the calls of a pool", slog.String("pool", pool.GetName()), slog.Float64("limit", limit),
+				slog.Float64("running", load.running), slog.Int("slots", load.slots), slog.Int("own", load.own), slog.Int("places", granted))
+		}
+	}
+}
+
+// notableChange is the part by which a limit has to change to be logged, and
+// notableAfter the least time between two such lines of a pool.
+const (
+	notableChange = 0.15
+	notableAfter  = time.Second
+)
+
+// notable reports whether a limit has changed enough to be logged.
+func (t *throttle) notable(pool string, now time.Duration, limit float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before, known := t.logged[pool]
+	if known && (now-before.at < notableAfter || math.Abs(limit-before.limit) < notableChange*before.limit) {
+		return false
 	}
+	t.logged[pool] = loggedLimit{limit, now}
+	return true
+}
+
+// loggedLimit is a limit that was logged, and when.
+type loggedLimit struct {
+	limit float64
+	at    time.Duration
 }
 
 // places is how many calls this entry may have in flight under a limit for all.
@@ -102,10 +134,14 @@
 // poolLoads adds up the load of the endpoints of each pool.
 func (s *Server) poolLoads(now time.Duration) map[string]poolLoad {
 	loads := map[string]poolLoad{}
-	for _, e := range s.Endpoints.Snapshot().All() {
+	view := s.Endpoints.Snapshot()
+	for _, e := range view.All() {
 		if e.Addr == "" || e.State != endpoint.Serving || e.Silent {
 			continue
 		}
+		if present, ok := view.At(e.Addr); ok && present.ID != e.ID {
+			continue
+		}
 		load := loads[e.Pool]
 		load.slots += max(e.Slots, 1)
 		load.own += s.Loads.InFlight(e.ID)
--- a/workspace/estimate.go
+++ b/workspace/estimate.go
@@ -175,7 +175,17 @@
 	if rest := float64(needed) - prompt; rest > 0 {
 		wait += rest / a.drain(now, s)
 	}
-	return seconds(wait)
+	return seconds(min(wait, a.sharedWait(now, s)))
+}
+
+// sharedWait is how long it takes until all that wait now, and one more, have a
+// slot: s waits no longer than that even if its own share is used up, as slots
+// that others do not ask for are lent. It is without bound where they are not.
+func (a *Admission) sharedWait(now time.Duration, s *state) float64 {
+	if s.atConcurrencyLimit() || !a.mayLend(now, s) {
+		return math.Inf(1)
+	}
+	return float64(a.queued+1) / max(a.releaseRate(now), leastRate)
 }
 
 // drain is how many slots per second s gets while others want theirs too: its
