Late requests wait no longer than callers bear silence

Change: at most 2.4 objectives for a stream, and only as many wait as find a place at the measured rate; others are refused at once.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -28,6 +28,8 @@
 	routed bool
 	policy workspace.Config
 
+	late lateQueues
+
 	mu     sync.Mutex
 	gates  map[string]*workspace.Gate
 	limits map[string]workspace.Limits
@@ -51,18 +53,27 @@
 const latePoll = 40 * time.Millisecond
 
 // AdmitLate implements routed.Admitter. A late request does not queue with the
-// others, whose workspaces would have to share places with it.
+// others, whose workspaces would have to share places with it. Where so many wait
+// already that none would be left for it in time, it is refused at once.
 func (a *Admissions) AdmitLate(ctx context.Context, pool string, r workspace.Request, patience time.Duration) (func(), error) {
+	refused := fault.New(fault.Overloaded, "not run: no place was left for a request that is late already",
+		"ask again after the given time").After(a.policy.MaxRetryAfter)
+	if !a.late.begin(pool, time.Since(processStart), patience) {
+		return nil, refused
+	}
 	gate := a.gate(pool)
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for {
 		if load := gate.Load(); load.Queued == 0 && load.InFlight < load.Slots {
-			return a.AdmitTo(ctx, pool, r)
+			release, err := a.AdmitTo(ctx, pool, r)
+			a.late.end(pool, time.Since(processStart), err == nil)
+			return release, err
 		}
 		sleep(ctx, latePoll)
 		if ctx.Err() != nil {
-			return nil, fault.New(fault.Overloaded, "not run: no place was left for a request that is late already", "ask again after the given time").After(a.policy.MaxRetryAfter)
+			a.late.end(pool, time.Since(processStart), false)
+			return nil, refused
 		}
 	}
 }
--- /dev/null
+++ b/entry/late_test.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestAsManyLateRequestsWaitAsWillFindAPlace(t *testing.T) {
+	is := is.New(t)
+	var l lateQueues
+	admitted := 0
+	for l.begin("p", 0, time.Second) {
+		admitted++
+	}
+	is.Equal(admitted, lateAlways) // nothing is known yet
+	for now := time.Duration(0); now < 10*time.Second; now += 100 * time.Millisecond {
+		l.end("p", now, true) // ten a second find a place
+		is.True(l.begin("p", now, time.Second))
+	}
+	more := 0
+	for l.begin("p", 10*time.Second, time.Second) {
+		more++
+	}
+	is.True(lateAlways+more >= 8 && lateAlways+more <= 12)
+	is.True(!l.begin("p", 30*time.Second, time.Second)) // the rate has faded, all wait still
+	is.True(l.begin("q", 30*time.Second, time.Second))
+}
--- a/routed/request.go
+++ b/routed/request.go
@@ -79,12 +79,26 @@
 }
 
 // patience is how long a request that is late already may wait for a place: it
-// loses nothing by waiting, if there is time enough left for its answer.
-func (q *request) patience() time.Duration { return max((q.deadline-q.arrived)/latePatience, 1) }
+// loses nothing by waiting, if there is time enough left for its answer, and if
+// its caller does not take the silence for a failure.
+func (q *request) patience() time.Duration {
+	patience := (q.deadline - q.arrived) / latePatience
+	if q.route.GetKind() == fleetv1.CallKind_CALL_KIND_STREAM {
+		silence := time.Duration(lateObjectives * float64(q.route.GetObjectiveMs()) * float64(time.Millisecond))
+		patience = min(patience, silence)
+	}
+	return max(patience, 1)
+}
 
-// latePatience is the part of the time left, as a divisor, that a late request may
-// wait for a place.
-const latePatience = 2
+const (
+	// latePatience is the part of the time left, as a divisor, that a late request
+	// may wait for a place.
+	latePatience = 2
+	// lateObjectives is how many objectives of a route a late stream may wait:
+	// callers leave a stream that is silent for some four of them, and its first
+	// event takes up to one.
+	lateObjectives = 2.4
+)
 
 // target returns path and query byte for byte.
 func target(r *http.Request) string {
