--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -125,16 +126,31 @@
 	portRange = 22000
 )
 
+// given are the ports that tests of this process have been given. A port is free
+// again for everyone between the look for it and its daemon's start, and tests run
+// side by side; so none is given twice.
+var (
+	givenMu sync.Mutex
+	given   = map[int]bool{}
+)
+
 // ports returns n free loopback addresses.
 func ports(t *testing.T, n int) []string {
 	t.Helper()
+	givenMu.Lock()
+	defer givenMu.Unlock()
 	var listeners []net.Listener
 	var addresses []string
 	for len(listeners) < n {
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portRange)))
+		port := firstPort + rand.IntN(portRange)
+		if given[port] {
+			continue
+		}
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if errors.Is(err, syscall.EADDRINUSE) {
 			continue
 		}
+		given[port] = true
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/replica/takein_test.go
+++ b/replica/takein_test.go
@@ -11,7 +11,7 @@
 
 // startKept returns a cluster that keeps three voters by itself.
 func startKept(t *testing.T) (*sim, *host) {
-	s, leader := startCluster(t, 3)
+	s, _ := startCluster(t, 3)
 	s.voters = 3
 	for _, h := range s.hosts {
 		h.kill()
@@ -19,8 +19,7 @@
 	}
 	s.until(20*simElection, "a leader", func() bool { return s.leader() != nil })
 	s.commit(s.leader)
-	leader = s.leader()
-	return s, leader
+	return s, s.leader()
 }
 
 func (s *sim) role(id uint64) pb.Role {
