Tell the story of a request from the logs; one pause, one internal fault

Cause: an on-call engineer had only logs and no way through them; the pause until a context ends stood in seven packages, the fault of an unexpected error in two.

--- a/agent/control.go
+++ b/agent/control.go
@@ -9,6 +9,7 @@
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/link/replicas"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // retryPause is the mean pause after all replicas have failed.
@@ -39,7 +40,7 @@
 			return
 		}
 		c.logger.DebugContext(ctx, "cannot read the fencing token yet", slog.Any("error", err))
-		pause(ctx, jitter(retryPause))
+		wait.For(ctx, jitter(retryPause))
 	}
 }
 
@@ -50,13 +51,3 @@
 	}
 	return d/2 + rand.N(d)
 }
-
-// pause waits for d or for ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/telemetry"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 const (
@@ -156,7 +157,7 @@
 				slog.Uint64("incarnation", d.keeper.incarnation()))
 			return
 		}
-		pause(ctx, readyPoll)
+		wait.For(ctx, readyPoll)
 	}
 }
 
@@ -192,7 +193,7 @@
 	case <-ctx.Done():
 	}
 	for d.keeper.inFlight() > 0 && ctx.Err() == nil {
-		pause(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 }
 
--- a/agent/poll.go
+++ b/agent/poll.go
@@ -9,6 +9,7 @@
 
 	"github.com/lilackeel/lilackeel/agent/engineapi"
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 const (
@@ -43,7 +44,7 @@
 		if number%readBackEvery == 0 {
 			p.readLoaded(ctx)
 		}
-		pause(ctx, jitter(p.interval))
+		wait.For(ctx, jitter(p.interval))
 	}
 }
 
--- a/agent/ranks/load.go
+++ b/agent/ranks/load.go
@@ -9,6 +9,7 @@
 	"github.com/lilackeel/lilackeel/agent/engineapi"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/group/mapswitch"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // loadRetry is the pause after an order to load a map that was not carried out.
@@ -44,7 +45,7 @@
 	if err != nil {
 		r.cfg.Logger.Warn("an expert map was not loaded", slog.String("endpoint", m.member.Endpoint),
 			slog.Uint64("epoch", order.Epoch), slog.Any("error", err))
-		wait(r.background, loadRetry)
+		wait.For(r.background, loadRetry)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/agent/ranks/read.go
+++ b/agent/ranks/read.go
@@ -10,6 +10,7 @@
 	"github.com/lilackeel/lilackeel/group"
 	"github.com/lilackeel/lilackeel/group/mapswitch"
 	"github.com/lilackeel/lilackeel/group/mapwire"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // The pause after a read of a group's record doubles from the least to the most
@@ -63,7 +64,7 @@
 		if err != nil {
 			r.ranks.cfg.Logger.DebugContext(ctx, "cannot read the record of an expert map", slog.String("group", r.group), slog.Any("error", err))
 		}
-		wait(ctx, r.nextPause(record))
+		wait.For(ctx, r.nextPause(record))
 	}
 }
 
@@ -126,13 +127,3 @@
 	return group.Map{}, fault.Newf(fault.NotFound, "wait for the next decision on the group's map",
 		"the record of group %s has no map of epoch %d", r.group, epoch)
 }
-
-// wait waits for d or for ctx.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/control/calls.go
+++ b/control/calls.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/lilackeel/lilackeel/telemetry"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // callsPoll is the time between two looks at the calls in flight.
@@ -30,6 +31,6 @@
 // wait returns when no call is in flight or ctx ends.
 func (c *calls) wait(ctx context.Context) {
 	for c.inFlight.Load() > 0 && ctx.Err() == nil {
-		pause(ctx, callsPoll)
+		wait.For(ctx, callsPoll)
 	}
 }
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/replica/server"
 	"github.com/lilackeel/lilackeel/telemetry"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 const (
@@ -113,7 +114,7 @@
 		default:
 			d.ready.Set(false, startingReason)
 		}
-		pause(ctx, readyPoll)
+		wait.For(ctx, readyPoll)
 	}
 }
 
--- a/control/finish.go
+++ b/control/finish.go
@@ -7,6 +7,7 @@
 
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	"github.com/lilackeel/lilackeel/contract"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 const (
@@ -31,7 +32,7 @@
 	for ctx.Err() == nil {
 		f.endDrains(ctx, l, began)
 		f.finishIntents(ctx, l)
-		pause(ctx, finishInterval)
+		wait.For(ctx, finishInterval)
 	}
 }
 
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -10,6 +10,7 @@
 
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // leaderRetry is the pause after the leader's command has failed.
@@ -125,7 +126,7 @@
 // All that end together go into one command.
 func (l *leadership) expire(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, l.leases.interval())
+		wait.For(ctx, l.leases.interval())
 		l.mu.Lock()
 		ended := l.leases.expired(l.now())
 		l.mu.Unlock()
--- a/control/leadership_test.go
+++ b/control/leadership_test.go
@@ -14,6 +14,7 @@
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/proof"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // fakeLog commits at once and takes readDelay for a reading.
@@ -33,7 +34,7 @@
 }
 
 func (l *fakeLog) ReadIndex(ctx context.Context) (uint64, error) {
-	pause(ctx, l.readDelay)
+	wait.For(ctx, l.readDelay)
 	return l.Applied(), ctx.Err()
 }
 
--- a/control/source.go
+++ b/control/source.go
@@ -9,6 +9,7 @@
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	replicav1 "github.com/lilackeel/lilackeel/api/replica/v1"
 	"github.com/lilackeel/lilackeel/replica/server"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // source publishes the replica's state on the feed.
@@ -116,18 +117,6 @@
 			failing = err != nil
 			logger.Info("reading through a quorum", "works", !failing, "error", err)
 		}
-		pause(ctx, interval-time.Since(at))
-	}
-}
-
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+		wait.For(ctx, interval-time.Since(at))
 	}
 }
--- a/control/terms.go
+++ b/control/terms.go
@@ -10,6 +10,7 @@
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/replica"
 	"github.com/lilackeel/lilackeel/replica/server"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // driver does something as long as its leadership lasts. It returns when ctx ends.
@@ -64,7 +65,7 @@
 	l, err := beginLeadership(ctx, t.log, t.state, term, t.lease, t.logger.With("term", term))
 	if err != nil {
 		t.logger.Info("opening the term failed", "term", term, "error", err)
-		pause(ctx, leaderRetry)
+		wait.For(ctx, leaderRetry)
 		return
 	}
 	t.set(l)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/lilackeel/lilackeel/setting"
 	"github.com/lilackeel/lilackeel/telemetry"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // flushTimeout bounds sending the last spans at the end.
@@ -77,7 +78,7 @@
 	reloads := &reloader{program: p, file: set.File(), logger: logger, hangup: hangup}
 	err := p.run(ctx, logger, reloads)
 	for err != nil && ctx.Err() == nil && p.Recover != nil && p.Recover(err, logger) {
-		pause(ctx, recoverPause)
+		wait.For(ctx, recoverPause)
 		err = p.run(ctx, logger, reloads)
 	}
 	if err != nil {
@@ -88,16 +89,6 @@
 	return 0
 }
 
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // run serves until ctx ends.
 func (p Program) run(ctx context.Context, logger *slog.Logger, reloads *reloader) (err error) {
 	flush, err := telemetry.Tracing(ctx, *p.Telemetry)
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -9,6 +9,7 @@
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/wait"
 	"github.com/lilackeel/lilackeel/workspace"
 )
 
@@ -70,7 +71,7 @@
 			a.late.end(pool, time.Since(processStart), err == nil)
 			return release, err
 		}
-		sleep(ctx, latePoll)
+		wait.For(ctx, latePoll)
 		if ctx.Err() != nil {
 			a.late.end(pool, time.Since(processStart), false)
 			return nil, refused
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -134,7 +134,7 @@
 
 // cut reports an attempt that ended without its answer.
 func (x *exchange) cut(err error) call.Action {
-	f := asFault(err)
+	f := fault.From(err)
 	left := context.Cause(x.caller) != nil && x.repeat != nil
 	if errors.Is(err, io.EOF) {
 		f = fault.New(fault.Unknown, "the answer was cut: the agent ended it early", "ask again")
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/routed"
 	"github.com/lilackeel/lilackeel/telemetry"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 const (
@@ -118,7 +119,7 @@
 		return d.stopRouted(ctx, server, failed)
 	}
 	server.SetKeepAlivesEnabled(false)
-	sleep(ctx, d.config.DrainDelay)
+	wait.For(ctx, d.config.DrainDelay)
 	err := server.Shutdown(ctx)
 	d.server.Settled()
 	if served := <-failed; !errors.Is(served, http.ErrServerClosed) {
@@ -135,11 +136,11 @@
 func (d *Daemon) stopRouted(ctx context.Context, server *http.Server, failed <-chan error) error {
 	limit := time.Now().Add(d.config.StopLimit)
 	d.routed.Stop()
-	sleep(ctx, d.config.DrainDelay)
+	wait.For(ctx, d.config.DrainDelay)
 	d.routed.Refuse()
 	quiet := time.Now()
 	for time.Since(quiet) < stopQuiet && time.Now().Before(limit) {
-		sleep(ctx, stopPoll)
+		wait.For(ctx, stopPoll)
 		if d.routed.InFlight() > 0 {
 			quiet = time.Now()
 		}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -76,7 +76,7 @@
 // refusal returns the verdict on a request that was not admitted. An earlier
 // request with the caller's key is not spoken of.
 func (q *request) refusal(err error) *call.Verdict {
-	f := asFault(err)
+	f := fault.From(err)
 	if f.RetryAfter == 0 {
 		f = f.After(call.DefaultRetryAfter)
 	}
@@ -228,7 +228,7 @@
 	x.closeAttempt()
 	target, err := x.choose(a.Exclude)
 	if err != nil {
-		return x.machine.PickFailed(x.now(), asFault(err))
+		return x.machine.PickFailed(x.now(), fault.From(err))
 	}
 	return x.machine.Picked(x.now(), target)
 }
@@ -324,16 +324,9 @@
 	s.Logger.LogAttrs(x.caller, level, "ended a request", attrs...)
 }
 
-func asFault(err error) *fault.Error {
-	if f := fault.As(err); f != nil {
-		return f
-	}
-	return fault.New(fault.Internal, "an unexpected error", "report the defect with the log of the daemon").Because(err)
-}
-
 func faultOrNil(err error) *fault.Error {
 	if err == nil {
 		return nil
 	}
-	return asFault(err)
+	return fault.From(err)
 }
--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -31,6 +31,7 @@
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/proof"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // fakes stand for everything that a Server reaches, without a network. They
@@ -239,7 +240,7 @@
 					}}, nil
 				}
 				f.agent = func(ctx context.Context, _ *agentv1.DispatchRequest, send func(*agentv1.DispatchResponse)) error {
-					sleep(ctx, time.Second)
+					wait.For(ctx, time.Second)
 					if ctx.Err() != nil {
 						return ctx.Err()
 					}
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -14,6 +14,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
 	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 const (
@@ -104,7 +105,7 @@
 		if reported {
 			pause = minReconnectPause
 		}
-		sleep(ctx, pause/2+rand.N(pause/2+1))
+		wait.For(ctx, pause/2+rand.N(pause/2+1))
 		pause = min(2*pause, maxReconnectPause)
 	}
 }
@@ -178,13 +179,3 @@
 	}
 	return &agentv1.Freshness{AgentTimeNs: known.ns, OffsetNs: confirmed.Sub(known.received).Nanoseconds(), Revision: revision}
 }
-
-// sleep waits for d or for ctx.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -113,6 +113,14 @@
 	return nil
 }
 
+// From returns the fault in err's chain, or one of kind Internal because of it.
+func From(err error) *Error {
+	if fault := As(err); fault != nil {
+		return fault
+	}
+	return New(Internal, "an unexpected error", "report the defect with the log of the daemon").Because(err)
+}
+
 // KindOf returns the kind of err; Internal for an error that is not a fault,
 // and the empty kind for nil.
 func KindOf(err error) Kind {
--- a/feed/client.go
+++ b/feed/client.go
@@ -13,6 +13,7 @@
 
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/wait"
 )
 
 // DefaultPingInterval is the time between two pings of a client.
@@ -197,7 +198,7 @@
 			continue
 		}
 		c.cfg.Logger.Warn("left a source of configuration", "source", source, "error", err)
-		pause(ctx, order.failed(worked))
+		wait.For(ctx, order.failed(worked))
 	}
 	return ctx.Err()
 }
--- a/feed/rotation.go
+++ b/feed/rotation.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -80,16 +79,3 @@
 func jitter(d time.Duration) time.Duration {
 	return d/2 + rand.N(d/2+1)
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/measure/settings/settings.go
+++ b/measure/settings/settings.go
@@ -10,6 +10,7 @@
 	"github.com/lilackeel/lilackeel/control"
 	"github.com/lilackeel/lilackeel/entry"
 	"github.com/lilackeel/lilackeel/operator"
+	"github.com/lilackeel/lilackeel/rankhost"
 	"github.com/lilackeel/lilackeel/setting"
 )
 
@@ -17,7 +18,8 @@
 
 Made by ` + "`go run ./cmd/lilackeel-measure settings > docs/SETTINGS.md`" + `; do not edit.
 
-Every setting is a flag and an environment variable; the flag wins. ` + "`-check`" + ` checks the settings and exits,
+Every setting is a flag, an environment variable, or a line of the file named by ` + "`-settings`" + `;
+the flag wins, then the variable. ` + "`-check`" + ` checks the settings and exits,
 ` + "`-version`" + ` prints the version. A wrong, missing or contradictory value stops the start with every fault listed.
 `
 
@@ -31,6 +33,7 @@
 	{"lilackeel-entry", func(s *setting.Set) { entry.Settings(s, &entry.Config{}) }},
 	{"lilackeel-agent", func(s *setting.Set) { (&agent.Settings{}).Register(s) }},
 	{"lilackeel-control", func(s *setting.Set) { (&control.Settings{}).Register(s) }},
+	{"lilackeel-platform rank", func(s *setting.Set) { (&rankhost.Settings{}).Register(s) }},
 	{"lilackeelctl", func(s *setting.Set) { (&operator.Settings{}).Register(s) }},
 }
 
--- a/operator/command.go
+++ b/operator/command.go
@@ -29,6 +29,8 @@
 	run      func(s *session, ctx context.Context) error
 	// unbounded commands run until they are interrupted.
 	unbounded bool
+	// offline commands ask no control replica.
+	offline bool
 }
 
 var commands = []command{
@@ -41,6 +43,7 @@
 	{name: "explain", arguments: []string{settingIntent}, run: (*session).explain, summary: "show an intent, its plan, how far it has come and why"},
 	{name: "watch", arguments: []string{settingIntent}, optional: true, unbounded: true, run: (*session).watch, summary: "follow the status, or one intent until it is carried out"},
 	{name: "config", run: (*session).config, summary: "show the accepted configuration"},
+	{name: "explain-request", arguments: []string{settingIntent, settingFile}, offline: true, run: (*session).story, summary: "tell the story of a request from the daemons' logs, files separated by commas"},
 	{name: "members", run: (*session).members, summary: "list the control replicas, or change one"},
 }
 
@@ -67,6 +70,7 @@
 		return usage(stderr, "write "+verb.synopsis())
 	}
 	s := &session{stdin: stdin, stdout: stdout}
+	s.settings.offline = verb.offline
 	set := setting.New(program)
 	s.settings.Register(set)
 	if code, done := set.Main(flags, environ, stdout, stderr); done {
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -52,6 +52,8 @@
 	Yes bool
 	// Member is the change that members makes.
 	Member MemberChange
+	// offline is true for a command that asks no control replica.
+	offline bool
 }
 
 // MemberChange is at most one change of the voting replicas.
@@ -74,7 +76,11 @@
 
 // Register adds all settings to set.
 func (s *Settings) Register(set *setting.Set) {
-	set.List(&s.Control, "control", nil, "addresses of the control replicas, host:port", setting.Required, setting.HostPort)
+	rules := []setting.Rule{setting.HostPort}
+	if !s.offline {
+		rules = append(rules, setting.Required)
+	}
+	set.List(&s.Control, "control", nil, "addresses of the control replicas, host:port", rules...)
 	set.String(&s.Operator, "operator", loginName(), "name of the operator who asks")
 	set.String(&s.File, settingFile, "", "plan, diff: the intent file, - for standard input; -f for short")
 	set.String(&s.Intent, settingIntent, "", "confirm, cancel, explain, watch: the id of an intent")
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -173,7 +173,7 @@
 		}
 		switch {
 		case broken != nil:
-			return a.broken(asFault(broken))
+			return a.broken(fault.From(broken))
 		case errors.Is(err, io.EOF) && a.events.Partial():
 			return a.broken(errCut(io.ErrUnexpectedEOF))
 		case errors.Is(err, io.EOF):
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -22,6 +22,7 @@
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/site"
 	"github.com/lilackeel/lilackeel/telemetry"
+	"github.com/lilackeel/lilackeel/wait"
 	"github.com/lilackeel/lilackeel/workspace"
 )
 
@@ -65,7 +66,7 @@
 	release, err := x.admit(admitted)
 	cancel()
 	if err != nil {
-		return x.end(x.machine.GiveUp(s.clock(), asFault(err)))
+		return x.end(x.machine.GiveUp(s.clock(), fault.From(err)))
 	}
 	defer release()
 	x.placed = s.clock() - q.arrived
@@ -88,7 +89,7 @@
 			return x.end(step.Verdict)
 		}
 		x.note("trying again", result.fault, step.Delay)
-		sleep(x.caller, step.Delay)
+		wait.For(x.caller, step.Delay)
 	}
 }
 
@@ -128,7 +129,7 @@
 	s, q := x.server, x.request
 	target, err := x.pick()
 	if err != nil {
-		return x.notPicked(asFault(err))
+		return x.notPicked(fault.From(err))
 	}
 	x.target = target
 	x.tried = append(x.tried, target.ID)
@@ -140,7 +141,7 @@
 	a := &attempt{exchange: x, started: s.clock(), load: s.Loads.Sent(s.clock(), target.ID, q.work)}
 	response, err := s.Client.Send(ctx, target.Addr, x.message(&target))
 	if err != nil {
-		return a.unanswered(asFault(err))
+		return a.unanswered(fault.From(err))
 	}
 	defer func() { _ = response.Body.Close() }()
 	return a.answered(response)
@@ -332,23 +333,3 @@
 
 // sharedRand spreads waits and choices.
 var sharedRand = rand.New(lockedSource{})
-
-func asFault(err error) *fault.Error {
-	if f := fault.As(err); f != nil {
-		return f
-	}
-	return fault.New(fault.Internal, "an unexpected error", "report the defect with the log of the daemon").Because(err)
-}
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
