Leave a control replica one second after its quorum last confirmed it

The follower counted staleness from the ping's sending and not from the confirmation, and added the limit of silence, about 4 s together.

Ruled out: a frozen entry (it logged requests throughout); an answer held back by the replica (the ages came every 250 ms); a confirmation claimed too new (they grew as the cut did).

Change: staleness counts from the confirmation, the limit is 1 s, and each answer sets the time to leave anew.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -223,6 +223,34 @@
 	is.Equal(applied, []uint64{7, 8})
 }
 
+// cutSource is cut off from its quorum: it answers, and what it knows gets
+// older and older.
+type cutSource struct {
+	*fakeSource
+	confirmed time.Time
+}
+
+func (s *cutSource) Freshness() (uint64, time.Time, bool) {
+	return s.Revision(), s.confirmed, true
+}
+
+// A client that comes to a source cut off from its quorum leaves it once the
+// answers show that, and not only when a first answer would have been overdue.
+func TestClientMovesOnFromACutOffSource(t *testing.T) {
+	proof.Cell{Promise: proof.Configuration, Faults: []proof.Fault{proof.CutBothWays}, Step: "coming to a source that is cut off from the quorum",
+		Guard: "the time to leave is set anew at each answer"}.Log(t)
+	is := is.New(t)
+	cut := serve(t, NewServer(&cutSource{fakeSource: newFakeSource(1), confirmed: time.Now()}))
+	working := serve(t, NewServer(newFakeSource(2)))
+	client := newTestClient("entry-1", cut, working)
+	client.follower.limits.FirstAnswer = time.Minute
+	begun := time.Now()
+	runClient(t, client)
+	await(t, client, 2)
+	is.Equal(client.Source(), working)
+	is.True(time.Since(begun) < 20*time.Second) // of the minute that a first answer may take
+}
+
 // A relay that has caught up by a snapshot does not know what came and went in
 // between, so a daemon that stood there gets a snapshot too.
 func TestRelayForgetsBehindASnapshot(t *testing.T) {
--- a/feed/follower.go
+++ b/feed/follower.go
@@ -15,15 +15,21 @@
 	// FirstAnswer is the same for the first answer of a watch, which may have to
 	// carry a whole configuration.
 	FirstAnswer time.Duration
-	// Stale is how old the knowledge of an answering source may be.
+	// Stale is how old the knowledge of an answering source may be. It bounds
+	// how long a daemon acts on the configuration of a control replica that is
+	// cut off from its quorum while the others accept a newer one.
 	Stale time.Duration
 }
 
-// Defaults of Limits.
+// Defaults of Limits. A configuration has to be in force within two seconds of
+// its acceptance: a daemon that leaves its source a second after the quorum
+// last confirmed it has the other second to open the next one. A source that
+// works is confirmed every 150 ms and asked every 250 ms, so a second is more
+// than twice what it needs.
 const (
 	DefaultSilence     = time.Second
 	DefaultFirstAnswer = 3 * time.Second
-	DefaultStale       = 1500 * time.Millisecond
+	DefaultStale       = time.Second
 )
 
 // Step is the change from one configuration to the next that a daemon has to
@@ -66,10 +72,14 @@
 	pings   map[uint64]time.Time
 	lastSeq uint64
 
-	// opened is when the present watch began; heard the sending time of the
-	// latest ping that it answered, good the same for an answer that was not
-	// stale.
-	opened, heard, good time.Time
+	// opened is when the present watch began, answered when its first answer to
+	// a ping came, and heard the sending time of the latest ping that it
+	// answered.
+	opened, answered, heard time.Time
+
+	// good is when a quorum confirmed the knowledge of the present source, by
+	// the latest answer that was not stale.
+	good time.Time
 
 	counts FollowerCounts
 }
@@ -98,6 +108,7 @@
 func (f *Follower) Open(now time.Time) {
 	f.pings = map[uint64]time.Time{}
 	f.opened = now
+	f.answered = time.Time{}
 	f.heard = time.Time{}
 	f.good = time.Time{}
 }
@@ -175,6 +186,9 @@
 		return nil
 	}
 	f.forgetPings(pong.GetSeq())
+	if f.answered.IsZero() {
+		f.answered = now
+	}
 	if sent.After(f.heard) {
 		f.heard = sent
 	}
@@ -183,8 +197,8 @@
 		return nil
 	}
 	at := sent.Add(-age)
-	if now.Sub(at) <= f.limits.Stale && sent.After(f.good) {
-		f.good = sent
+	if now.Sub(at) <= f.limits.Stale && at.After(f.good) {
+		f.good = at
 	}
 	f.believe(confirmation{revision: pong.GetRevision(), at: at, ok: true})
 	if f.acked == 0 {
@@ -256,7 +270,7 @@
 	if now.Sub(f.heardUntil()) > f.silenceLimit() {
 		return fault.New(fault.Unavailable, "the feed has gone silent", "the client watches the next source")
 	}
-	if now.Sub(later(f.opened, f.good)) > f.limits.Stale+f.silenceLimit() {
+	if now.After(f.staleAt()) {
 		return fault.New(fault.Stale, "the feed has lost the quorum", "the client watches the next source")
 	}
 	return nil
@@ -265,13 +279,25 @@
 // GiveUp returns when Keep will refuse the present source unless it answers.
 func (f *Follower) GiveUp() time.Time {
 	silent := f.heardUntil().Add(f.silenceLimit())
-	stale := later(f.opened, f.good).Add(f.limits.Stale + f.silenceLimit())
+	stale := f.staleAt()
 	if stale.Before(silent) {
 		return stale
 	}
 	return silent
 }
 
+// staleAt returns when the present source counts as cut off from its quorum.
+// It counts from the confirmation and not from the answer that told of it: an
+// answer may be as old as the limit already. A source that has just begun to
+// answer has the whole limit to show a confirmation, and one that has not
+// answered yet, with a whole configuration under way, is only silent.
+func (f *Follower) staleAt() time.Time {
+	if f.answered.IsZero() {
+		return f.opened.Add(f.limits.FirstAnswer + f.limits.Stale)
+	}
+	return later(f.answered, f.good).Add(f.limits.Stale)
+}
+
 func (f *Follower) heardUntil() time.Time { return later(f.opened, f.heard) }
 
 func (f *Follower) silenceLimit() time.Duration {
--- a/feed/follower_test.go
+++ b/feed/follower_test.go
@@ -198,3 +198,59 @@
 	is.True(left != nil) // answers, but no quorum confirms it any more
 	is.True(!follower.GiveUp().After(now))
 }
+
+// A source that loses the quorum is left as soon as what it knows is older than
+// the limit, whatever it answers in the meantime: a daemon that stays longer
+// acts on a configuration that the others have long replaced.
+func TestFollowerLeavesASourceOneLimitAfterItsLastConfirmation(t *testing.T) {
+	proof.Cell{Promise: proof.Configuration, Faults: []proof.Fault{proof.CutBothWays}, Step: "how long a daemon stays with a source cut off from the quorum",
+		Guard: "the limit counts from the confirmation"}.Log(t)
+	const tick = 50 * time.Millisecond
+	for seed := uint64(1); seed <= 100; seed++ {
+		is := is.New(t)
+		rng := rand.New(rand.NewPCG(seed, 2))
+		now := time.Now()
+		limits := Limits{Silence: DefaultSilence, FirstAnswer: DefaultFirstAnswer, Stale: DefaultStale}
+		follower := NewFollower(limits, now, 0)
+		follower.Open(now)
+		source := &replicaModel{held: 1, confirmed: now}
+		for range 40 {
+			now = now.Add(tick)
+			source.confirmed = now.Add(-time.Duration(rng.IntN(300)) * time.Millisecond)
+			_, err := follower.Receive(now, source.pong(now, follower.Ping(now).GetSeq()))
+			is.NoErr(err)
+			is.NoErr(follower.Keep(now))
+		}
+		lastConfirmed := source.confirmed
+		for follower.Keep(now) == nil {
+			now = now.Add(tick)
+			ping := follower.Ping(now)
+			if rng.IntN(3) > 0 {
+				_, err := follower.Receive(now, source.pong(now, ping.GetSeq()))
+				is.NoErr(err)
+			}
+			is.True(now.Sub(lastConfirmed) <= DefaultStale+2*tick+300*time.Millisecond)
+		}
+	}
+}
+
+// A source whose first answer follows a large snapshot is kept although the
+// answer took longer than the limit of staleness.
+func TestFollowerKeepsASlowFirstAnswer(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	limits := Limits{Silence: DefaultSilence, FirstAnswer: DefaultFirstAnswer, Stale: DefaultStale}
+	follower := NewFollower(limits, start, 0)
+	follower.Open(start)
+	first := follower.Ping(start)
+	now := start.Add(2800 * time.Millisecond)
+	source := &replicaModel{held: 1, confirmed: start}
+	second := follower.Ping(now.Add(-100 * time.Millisecond))
+	is.NoErr(follower.Keep(now))
+	_, err := follower.Receive(now, source.pong(start, first.GetSeq()))
+	is.NoErr(err)
+	source.confirmed = now
+	_, err = follower.Receive(now, source.pong(now, second.GetSeq()))
+	is.NoErr(err)
+	is.NoErr(follower.Keep(now.Add(200 * time.Millisecond)))
+}
--- a/feed/watch.go
+++ b/feed/watch.go
@@ -89,7 +89,7 @@
 }
 
 // check ends the stream if the source has to be left, and looks again when it
-// next may have to be.
+// next may have to be. It may be called from any goroutine.
 func (w *watch) check() {
 	if w.client.keep() != nil {
 		w.cancel()
@@ -121,6 +121,9 @@
 			<-failed
 			return err
 		}
+		// An answer brings the time to leave closer as well as further away: the
+		// first one ends the long wait for a whole configuration.
+		w.check()
 	}
 }
 
