--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -16,6 +16,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/proof"
 )
 
 // script is an endpoint that handles each of its connections by the next function.
@@ -170,6 +171,8 @@
 
 // An answer that names another request is passed over; the request's own follows.
 func TestAnAnswerToAnotherRequestIsPassedOver(t *testing.T) {
+	proof.Cell{Promise: proof.OwnAnswer, Faults: []proof.Fault{proof.Crossed}, Step: "answer of another request on a kept connection",
+		Guard: "the name of the request in the answer"}.Log(t)
 	is := is.New(t)
 	s := serve(t, func(c net.Conn, r *bufio.Reader) {
 		head(r)
--- a/rankhost/holder_test.go
+++ b/rankhost/holder_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/proof"
 )
 
 // TestOneMapInEveryPass plays switches one after another while messages are lost
@@ -13,6 +15,8 @@
 // frozen, cut off and started again, and coordinators are replaced. No pass may
 // begin with two maps; afterwards the group must run on and switch again.
 func TestOneMapInEveryPass(t *testing.T) {
+	proof.Cell{Promise: proof.OneMap, Faults: []proof.Fault{proof.Restart, proof.Freeze, proof.CutBothWays, proof.Late, proof.Lost}, Step: "orders to engines that take them late or without an answer", Together: true,
+		Guard: "a promise is given only once its step is held"}.Log(t)
 	for _, ranks := range []int{2, 3, 5} {
 		for seed := range uint64(40) {
 			t.Run(fmt.Sprintf("ranks=%d/seed=%d", ranks, seed), func(t *testing.T) {
--- a/rankhost/world_test.go
+++ b/rankhost/world_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-
 	"testing"
 	"time"
 
--- a/routed/routed_test.go
+++ b/routed/routed_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/proof"
 	"github.com/lilackeel/lilackeel/site"
 )
 
@@ -82,6 +83,8 @@
 // TestWhatMayBeRepeatedFollowsFromTheKind plays each end of a first attempt for
 // each kind of call; the second endpoint would answer.
 func TestWhatMayBeRepeatedFollowsFromTheKind(t *testing.T) {
+	proof.Cell{Promise: proof.AtMostOnce, Faults: []proof.Fault{proof.Kill, proof.Lost}, Step: "endpoint lost, failing or doubtful while a call runs",
+		Guard: "only a call that was never sent, or is proved not to have run, is sent again"}.Log(t)
 	for _, c := range []struct {
 		name, path  string
 		first       http.HandlerFunc
