--- a/feed/client.go
+++ b/feed/client.go
@@ -189,6 +189,7 @@
 		sources := c.currentSources()
 		order.resize(len(sources))
 		source := sources[order.index]
+		begun := time.Now()
 		worked, err := c.watch(ctx, connections, source, order.stay())
 		if ctx.Err() != nil {
 			break
@@ -197,8 +198,18 @@
 			order.stayed()
 			continue
 		}
-		c.cfg.Logger.Warn("left a source of configuration", "source", source, "error", err)
+		c.logLeft(source, begun, err)
 		wait.For(ctx, order.failed(worked))
 	}
 	return ctx.Err()
 }
+
+// logLeft says why a source was left, how long it was watched, and how old the
+// knowledge is that the daemon acts on: a caller may have been answered by it.
+func (c *Client) logLeft(source string, begun time.Time, reason error) {
+	attributes := []any{"source", source, "watched", time.Since(begun), "error", reason}
+	if revision, confirmed, ok := c.Freshness(); ok {
+		attributes = append(attributes, "revision", revision, "confirmed_ago", time.Since(confirmed))
+	}
+	c.cfg.Logger.Warn("left a source of configuration", attributes...)
+}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -1,7 +1,9 @@
 package feed
 
 import (
+	"bytes"
 	"context"
+	"log/slog"
 	"net"
 	"strings"
 	"sync"
@@ -244,11 +246,15 @@
 	working := serve(t, NewServer(newFakeSource(2)))
 	client := newTestClient("entry-1", cut, working)
 	client.follower.limits.FirstAnswer = time.Minute
+	var lines bytes.Buffer
+	client.cfg.Logger = slog.New(slog.NewJSONHandler(&lines, nil))
 	begun := time.Now()
 	runClient(t, client)
 	await(t, client, 2)
 	is.Equal(client.Source(), working)
 	is.True(time.Since(begun) < 20*time.Second) // of the minute that a first answer may take
+	is.True(strings.Contains(lines.String(), `"left a source of configuration"`))
+	is.True(strings.Contains(lines.String(), `"watched":`))
 }
 
 // A relay that has caught up by a snapshot does not know what came and went in
