Name an endpoint's mark a signature, and how long a thing is kept a TTL

Change: names only; in direct the time a connection may be kept unused is the idle timeout. Tests of the packages touched pass.

--- a/contract/claim.go
+++ b/contract/claim.go
@@ -13,9 +13,9 @@
 
 // Bounds of what is kept of claims.
 const (
-	// ClaimLifetime is how long after its grant a claim is kept, in log time.
+	// ClaimTTL is how long after its grant a claim is kept, in log time.
 	// A key that comes again later is a new call.
-	ClaimLifetime = 24 * time.Hour
+	ClaimTTL = 24 * time.Hour
 	// MaxClaims is how many claims are kept at most, and MaxWholeClaims how many
 	// that are not retired; a further one is refused.
 	MaxClaims      = 8 << 20
@@ -97,7 +97,7 @@
 		endpoint: endpoint.announced.GetId(), agent: agent.name, agentAddr: agent.addr,
 		incarnation: agent.incarnation,
 		state:       controlv1.ClaimState_CLAIM_STATE_GRANTED,
-		expires:     s.logTime + int64(ClaimLifetime),
+		expires:     s.logTime + int64(ClaimTTL),
 	}
 	if before != nil {
 		entry.spent = before.spentWith(before.id)
--- a/contract/claim_test.go
+++ b/contract/claim_test.go
@@ -130,13 +130,13 @@
 	h.state.claims.wholeLimit = 3
 	is.True(h.claim("k5", "x", 1).Granted)
 
-	h.logTime += int64(ClaimLifetime + time.Second)
+	h.logTime += int64(ClaimTTL + time.Second)
 	h.apply(EncodeIssueFence(h.logTime))
 	is.Equal(h.state.ClaimCounts(), ClaimCounts{})
 }
 
 // TestRetiredClaimKeepsItsKey: a key whose answer is no longer kept is not granted
-// again in its lifetime, to whoever asks and also after a restart from a snapshot;
+// again within its TTL, to whoever asks and also after a restart from a snapshot;
 // a repeat learns that it ran, a resend of the holder that it held the key, and a
 // key that came with another request is refused. Some answers come long after the
 // grant, so that claims do not expire in the order in which they were retired.
@@ -156,7 +156,7 @@
 		h.logTime += int64(time.Hour) / 10
 		key, id := fmt.Sprintf("k%d", h.rng.IntN(150)), fmt.Sprintf("c%d", i)
 		held, known := holders[key]
-		live := known && h.logTime < held.granted+int64(ClaimLifetime)
+		live := known && h.logTime < held.granted+int64(ClaimTTL)
 		result := h.claim(key, id, 1)
 		is.Equal(result.Granted, !live)
 		is.Equal(len(result.Claim.GetDigest()), digestBytes)
@@ -169,7 +169,7 @@
 				h.settle(key, id, answered, 1, 2, 3)
 			}
 			holders[key] = held
-		case held.late && h.logTime < held.granted+int64(ClaimLifetime)*3/4:
+		case held.late && h.logTime < held.granted+int64(ClaimTTL)*3/4:
 			is.Equal(result.Claim.GetState(), unknown)
 		case held.late:
 			is.Equal(h.settle(key, held.id, answered, 1, 2, 3).Claim.GetState(), answered)
@@ -195,7 +195,7 @@
 		}
 	}
 	is.True(retired > 500)
-	h.logTime += int64(ClaimLifetime)
+	h.logTime += int64(ClaimTTL)
 	for range 10 { // a command forgets some
 		h.apply(EncodeIssueFence(h.logTime))
 	}
--- a/contract/claimtable.go
+++ b/contract/claimtable.go
@@ -133,7 +133,7 @@
 	delete(t.byKey, e.claimKey)
 }
 
-// expire forgets claims whose lifetime has passed, a bounded number at a time.
+// expire forgets claims whose TTL has passed, a bounded number at a time.
 func (t *claimTable) expire(logTime int64) {
 	t.retired.expire(logTime, expirePerApply)
 	for range expirePerApply {
--- a/contract/history_test.go
+++ b/contract/history_test.go
@@ -110,7 +110,7 @@
 
 // step applies one random command, of few names, so that they meet.
 func (h *history) step() {
-	h.logTime += h.rng.Int64N(int64(ClaimLifetime) / 200)
+	h.logTime += h.rng.Int64N(int64(ClaimTTL) / 200)
 	agent := pick(h.rng, "a", "b", "c")
 	incarnation := 1 + h.rng.Uint64N(4)
 	endpoint := pick(h.rng, "e1", "e2", "e3", "e4")
@@ -284,9 +284,9 @@
 }
 
 // TestLogTimeOnlyGrows: neither an old command nor a clock step moves it back,
-// and a claim lasts its lifetime in log time.
+// and a claim lasts its TTL in log time.
 func TestLogTimeOnlyGrows(t *testing.T) {
-	proof.Cell{Promise: proof.AtMostOnce, Faults: []proof.Fault{proof.ClockStep}, Step: "lifetime of a claim",
+	proof.Cell{Promise: proof.AtMostOnce, Faults: []proof.Fault{proof.ClockStep}, Step: "TTL of a claim",
 		Guard: "the bound in LogClock.At, and log time that only grows, each alone"}.Log(t)
 	is := is.New(t)
 	start := time.Now()
@@ -300,7 +300,7 @@
 	h.logTime = 0
 	h.apply(EncodeIssueFence(h.logTime))
 	is.Equal(h.state.LogTime(), int64(time.Hour))
-	h.logTime = int64(time.Hour+ClaimLifetime) - 1
+	h.logTime = int64(time.Hour+ClaimTTL) - 1
 	is.True(!h.apply(EncodeClaim(h.logTime, claimOf("k", "y", 1, "a", 1, "e1"))).Granted)
 	h.logTime++
 	is.True(h.apply(EncodeClaim(h.logTime, claimOf("k", "y", 1, "a", 1, "e1"))).Granted)
--- a/contract/retired.go
+++ b/contract/retired.go
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// expire forgets the oldest claims whose lifetime has passed, at most limit.
+// expire forgets the oldest claims whose TTL has passed, at most limit.
 func (t *retiredTable) expire(logTime int64, limit int) {
 	for range limit {
 		if t.head == t.next || t.at(t.head).expires > logTime {
--- a/direct/client.go
+++ b/direct/client.go
@@ -173,9 +173,9 @@
 }
 
 // put keeps a connection for the next request.
-func (c *Client) put(used *conn, lifetime time.Duration) {
+func (c *Client) put(used *conn, idle time.Duration) {
 	now := time.Now()
-	used.expires = now.Add(lifetime)
+	used.expires = now.Add(idle)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := c.idle[used.addr]
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -206,17 +206,18 @@
 	x.once.Do(func() {
 		unwatched := x.stop()
 		framed := x.response.ContentLength >= 0 || slices.Contains(x.response.TransferEncoding, "chunked")
-		lifetime := x.client.lifetime(x.response.Header)
-		if !unwatched || !x.written.Load() || x.response.Close || !framed || lifetime <= 0 || x.conn.reader.Buffered() > 0 {
+		idle := x.client.idleTimeout(x.response.Header)
+		if !unwatched || !x.written.Load() || x.response.Close || !framed || idle <= 0 || x.conn.reader.Buffered() > 0 {
 			x.conn.close()
 			return
 		}
-		x.client.put(x.conn, lifetime)
+		x.client.put(x.conn, idle)
 	})
 }
 
-// lifetime is how long a connection may be kept, from the Keep-Alive header.
-func (c *Client) lifetime(header http.Header) time.Duration {
+// idleTimeout is how long a connection may be kept unused, from the Keep-Alive
+// header.
+func (c *Client) idleTimeout(header http.Header) time.Duration {
 	for part := range strings.SplitSeq(header.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		seconds, err := strconv.ParseUint(value, 10, 31)
--- a/endpoint/load/estimate.go
+++ b/endpoint/load/estimate.go
@@ -9,8 +9,8 @@
 
 // Defaults of Config and of values that no report has told yet.
 const (
-	// DefaultSurpriseLifetime is the default of Config.SurpriseLifetime.
-	DefaultSurpriseLifetime = 20 * time.Second
+	// DefaultSurpriseTTL is the default of Config.SurpriseTTL.
+	DefaultSurpriseTTL = 20 * time.Second
 	// defaultPrefillRate is in tokens per second.
 	defaultPrefillRate = 8000
 	defaultStepTime    = 5 * time.Millisecond
@@ -29,15 +29,15 @@
 	// the rest is taken to be the mean. Zero: learned from the reports. Negative:
 	// reports are believed whatever their age.
 	Memory time.Duration
-	// SurpriseLifetime is the time in which a surprise fades that is not
+	// SurpriseTTL is the time in which a surprise fades that is not
 	// observed again. Negative: surprises are not remembered.
-	SurpriseLifetime time.Duration
+	SurpriseTTL time.Duration
 }
 
 func (c Config) withDefaults() Config {
 	c.Peers = max(c.Peers, 1)
-	if c.SurpriseLifetime == 0 {
-		c.SurpriseLifetime = DefaultSurpriseLifetime
+	if c.SurpriseTTL == 0 {
+		c.SurpriseTTL = DefaultSurpriseTTL
 	}
 	return c
 }
@@ -135,7 +135,7 @@
 	for _, s := range r.sent {
 		ahead += s.left(now, e.PrefillRate)
 	}
-	wait = perSecond(ahead, e.PrefillRate) + r.slotWait(e) + r.surpriseAt(now, t.config.SurpriseLifetime)
+	wait = perSecond(ahead, e.PrefillRate) + r.slotWait(e) + r.surpriseAt(now, t.config.SurpriseTTL)
 	return wait, perSecond(deviation, e.PrefillRate)
 }
 
--- a/endpoint/load/record.go
+++ b/endpoint/load/record.go
@@ -175,10 +175,10 @@
 }
 
 // surpriseAt is the surprise, which fades when it is not observed again.
-func (r *record) surpriseAt(now, lifetime time.Duration) time.Duration {
-	if r.surprise <= 0 || lifetime <= 0 {
+func (r *record) surpriseAt(now, ttl time.Duration) time.Duration {
+	if r.surprise <= 0 || ttl <= 0 {
 		return 0
 	}
-	left := 1 - float64(now-r.surprisedAt)/float64(lifetime)
+	left := 1 - float64(now-r.surprisedAt)/float64(ttl)
 	return time.Duration(max(0, left) * float64(r.surprise))
 }
--- a/endpoint/load/tracker.go
+++ b/endpoint/load/tracker.go
@@ -72,7 +72,7 @@
 	rec := t.record(id)
 	e := t.estimate(now, rec)
 	expected := e.Wait + perSecond(float64(w.PromptTokens), e.PrefillRate) + e.StepTime
-	surprise := rec.surpriseAt(now, t.config.SurpriseLifetime)
+	surprise := rec.surpriseAt(now, t.config.SurpriseTTL)
 	rec.send(now, w)
 	rec.fleet.prompt.add(float64(w.PromptTokens), minWindow)
 	rec.touch()
--- a/endpoint/prefix/index.go
+++ b/endpoint/prefix/index.go
@@ -14,8 +14,8 @@
 	DefaultHoldTime = 250 * time.Millisecond
 	// DefaultHoldEvents is the default of Config.HoldEvents.
 	DefaultHoldEvents = 32
-	// DefaultSentLifetime is the default of Config.SentLifetime.
-	DefaultSentLifetime = 2 * time.Second
+	// DefaultSentTTL is the default of Config.SentTTL.
+	DefaultSentTTL = 2 * time.Second
 )
 
 // Config sets the index up; the zero value takes the defaults.
@@ -28,10 +28,10 @@
 	// may stay open for a crossed event to fill it before it voids.
 	HoldTime   time.Duration
 	HoldEvents int
-	// SentLifetime is the least time for which a dispatched prompt is expected
+	// SentTTL is the least time for which a dispatched prompt is expected
 	// in the cache without an event that says so; it is kept for at most twice
 	// as long. Negative: dispatched prompts are not expected.
-	SentLifetime time.Duration
+	SentTTL time.Duration
 }
 
 func (c Config) withDefaults() Config {
@@ -44,8 +44,8 @@
 	if c.HoldEvents <= 0 {
 		c.HoldEvents = DefaultHoldEvents
 	}
-	if c.SentLifetime == 0 {
-		c.SentLifetime = DefaultSentLifetime
+	if c.SentTTL == 0 {
+		c.SentTTL = DefaultSentTTL
 	}
 	return c
 }
@@ -101,7 +101,7 @@
 // Sent notes that a prompt was dispatched to the endpoint, whose cache is
 // expected to hold it before its event arrives.
 func (x *Index) Sent(now time.Duration, id string, blocks []uint64) {
-	if x.config.SentLifetime < 0 {
+	if x.config.SentTTL < 0 {
 		return
 	}
 	x.mu.Lock()
@@ -217,7 +217,7 @@
 	if !s.gapOpen() && x.present.contains(pairKey(s.salt, block)) {
 		return true
 	}
-	if x.config.SentLifetime < 0 {
+	if x.config.SentTTL < 0 {
 		return false
 	}
 	period := x.period(now)
@@ -241,7 +241,7 @@
 
 // period numbers the spans of time by which dispatched prompts expire.
 func (x *Index) period(now time.Duration) uint64 {
-	return uint64(max(now, 0) / x.config.SentLifetime)
+	return uint64(max(now, 0) / x.config.SentTTL)
 }
 
 // stream returns the state of the endpoint's events, made if need be.
--- a/endpoint/prefix/index_test.go
+++ b/endpoint/prefix/index_test.go
@@ -47,7 +47,7 @@
 	x := New(Config{Entries: 1024})
 	x.Sent(0, "b", prompt)
 	is.Equal(x.Match(time.Second, "b", prompt), 6)
-	is.Equal(x.Match(2*DefaultSentLifetime, "b", prompt), 0)
+	is.Equal(x.Match(2*DefaultSentTTL, "b", prompt), 0)
 
 	for seq := uint64(1); seq <= 5000; seq++ {
 		x.Apply(0, stored(seq, 1000+seq))
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// ticketLifetime is how long a ticket may be used for a claim. It is well
+	// ticketTTL is how long a ticket may be used for a claim. It is well
 	// within the agents' admission window.
-	ticketLifetime = 5 * time.Second
+	ticketTTL = 5 * time.Second
 	// minReconnectPause and maxReconnectPause bound the pause before reports are asked
 	// for again.
 	minReconnectPause = 100 * time.Millisecond
@@ -151,7 +151,7 @@
 	}
 	t.Incarnation = known.incarnation
 	t.TicketNS = known.ns
-	return t, time.Since(known.received) <= ticketLifetime
+	return t, time.Since(known.received) <= ticketTTL
 }
 
 // Renew implements Knowledge.
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -37,9 +37,9 @@
 		return failed(call.Ran, fault.Newf(fault.Unknown, "ask again", "the endpoint answered %d without proof that it ran nothing", r.Status))
 	}
 	success := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
-	if success && names.Receipt != "" && r.Header.Get(names.Receipt) == "" {
+	if success && names.Signature != "" && r.Header.Get(names.Signature) == "" {
 		a.done(true)
-		return failed(call.Ran, fault.New(fault.Unknown, "the endpoint's answer lacks its receipt", "ask again"))
+		return failed(call.Ran, fault.New(fault.Unknown, "the endpoint's answer lacks its signature", "ask again"))
 	}
 	if !success {
 		return a.failure(r)
--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	testKey = "k-crew"
-	receipt = "Test-Receipt"
+	testKey   = "k-crew"
+	signature = "Test-Signature"
 )
 
 // open admits everything.
@@ -77,7 +77,7 @@
 	loads := load.New(load.Config{}, b.table)
 	outliers := outlier.New(outlier.Config{})
 	headers := DefaultHeaders
-	headers.Receipt = receipt
+	headers.Signature = signature
 	b.server = NewServer(Config{
 		Name: "entry", Zone: "a", Headers: headers, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10,
 		BodyTimeout: 200 * time.Millisecond, WriteTimeout: time.Second, HoldBytes: 1 << 10, RetryAfter: 250 * time.Millisecond,
@@ -174,7 +174,7 @@
 
 // answerOK is an endpoint that answers.
 func answerOK(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set(receipt, "s1")
+	w.Header().Set(signature, "s1")
 	_, _ = io.WriteString(w, "done")
 }
 
@@ -184,9 +184,9 @@
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
-// failing is an endpoint that fails with a receipt.
+// failing is an endpoint that fails with a signature.
 func failing(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set(receipt, "s2")
+	w.Header().Set(signature, "s2")
 	w.WriteHeader(http.StatusInternalServerError)
 	_, _ = io.WriteString(w, "broken")
 }
--- a/routed/headers.go
+++ b/routed/headers.go
@@ -24,8 +24,9 @@
 	Priority string
 	// NotRun, from endpoints: its presence proves that the request did not run.
 	NotRun string
-	// Receipt, from endpoints: an answer of success without it is not whole.
-	Receipt string
+	// Signature, from endpoints: the mark that an endpoint puts on its own
+	// answer. An answer of success without it is not whole.
+	Signature string
 	// Size reads the size of a model call: the prompt's tokens and the most that
 	// the answer may have. Nil or zeros: not known.
 	Size func(http.Header) (prompt, answer int)
--- a/routed/routed_test.go
+++ b/routed/routed_test.go
@@ -21,7 +21,7 @@
 func TestARequestAndItsAnswerPassUnchanged(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(receipt, "s1")
+		w.Header().Set(signature, "s1")
 		w.Header()["X-Twice"] = []string{"1", "2"}
 		w.Header()["Content-Type"] = nil
 		w.WriteHeader(http.StatusCreated)
@@ -94,10 +94,10 @@
 		{"once, failed", "/once/x", failing, 500, 1},
 		{"once, not run", "/once/x", notRun, 200, 2},
 		{"once, 503 without proof", "/once/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) }, 502, 1},
-		{"once, no receipt", "/once/x", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "?") }, 502, 1},
+		{"once, no signature", "/once/x", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "?") }, 502, 1},
 		{"read, cut", "/read/x", cutting, 200, 2},
 		{"read, failed", "/read/x", failing, 200, 2},
-		{"read, no receipt", "/read/x", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "?") }, 200, 2},
+		{"read, no signature", "/read/x", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "?") }, 200, 2},
 		{"stream, cut before its head", "/stream/x", cutting, 502, 1},
 		{"resumable, cut before its head", "/resumable/x", cutting, 200, 2},
 		{"read, another endpoint there", "/read/x", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(421) }, 200, 2},
@@ -119,7 +119,7 @@
 			is.Equal(calls, c.calls)
 			if got == http.StatusBadGateway {
 				is.Equal(response.Header.Get(call.HeaderOutcome), "unknown")
-				is.Equal(response.Header.Get(receipt), "")
+				is.Equal(response.Header.Get(signature), "")
 			}
 		})
 	}
@@ -130,7 +130,7 @@
 	b := newBed(t, failing, failing)
 	got, response, text := status(t, b, "/read/x", nil)
 	is.Equal(got, 500)
-	is.Equal(response.Header.Get(receipt), "s2")
+	is.Equal(response.Header.Get(signature), "s2")
 	is.Equal(text, "broken")
 	is.Equal(len(b.requests()), 2)
 }
@@ -151,7 +151,7 @@
 // events writes events from first to last, and the end of the stream if whole.
 func events(w http.ResponseWriter, first, last int) {
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set(receipt, "s"+strconv.Itoa(first))
+	w.Header().Set(signature, "s"+strconv.Itoa(first))
 	for id := first; id <= last; id++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: part %d\n\n", id, id)
 		w.(http.Flusher).Flush()
@@ -184,7 +184,7 @@
 	response, text, err := b.ask(http.MethodPost, "/resumable/x", "body", nil)
 	is.NoErr(err)
 	is.Equal(text, wanted(1, 6))
-	is.Equal(response.Header.Get(receipt), "s1") // of its first endpoint
+	is.Equal(response.Header.Get(signature), "s1") // of its first endpoint
 	is.Equal(b.requests()[1].Header.Get("Last-Event-Id"), "3")
 	is.Equal(b.bodies[1], "body")
 }
@@ -219,7 +219,7 @@
 func TestALongAnswerThatIsCutIsNotWhole(t *testing.T) {
 	is := is.New(t)
 	b := newBed(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(receipt, "s1")
+		w.Header().Set(signature, "s1")
 		_, _ = w.Write(make([]byte, 64<<10))
 		w.(http.Flusher).Flush()
 		panic(http.ErrAbortHandler)
