Ask an engine to hold a step for one switch only

Cause: a release is given once the switch of a held step is decided, and an engine may carry it out seconds later. After a change of the leader, in a group that makes no steps meanwhile, the next coordinator could choose the same step again; the late release then lifted the hold of the later promise, and a host that was frozen at that moment had not armed its engine: the step began with two maps. Ruled out: late holds (seen and released), late arms (of a decided map, refused once the step has begun), late prepares (a version that nobody arms). Weighed: keeping the highest step in the log's record costs a commit a switch; here each rank refuses what it has had, and a process that starts takes all that an earlier one can have asked for, 16 steps, as had. Change: rankhost/reserved.go; the holder refuses such promises as passed and names the highest step. A host that starts waits for 8 steps before its rank takes part in a switch.

--- a/rankhost/doc.go
+++ b/rankhost/doc.go
@@ -14,7 +14,8 @@
 // Holder compares the status with what the decided record asks for, and names one
 // order that brings them closer, again and again. A late order does no harm: one
 // about a step that has begun is refused by the engine, a hold that nobody wants
-// any more is seen and released.
+// any more is seen and released, and a release that is carried out seconds late
+// meets no other promise, since a step is asked of an engine for one switch only.
 //
 // A group that breaks forms anew, with its first map and nothing prepared, armed
 // or held. Each formation is a group of its own name.
--- a/rankhost/holder.go
+++ b/rankhost/holder.go
@@ -27,6 +27,8 @@
 	status    Status
 	// asked is the promise that is asked for and not yet put into effect.
 	asked *mapswitch.Message
+	// reserved are the steps that the engine has been asked to hold.
+	reserved reservation
 	// wanted is the epoch that is to be prepared, and its digest.
 	wanted mapswitch.Message
 	// maps are the maps known of epochs.
@@ -38,7 +40,7 @@
 func NewHolder(s Status, incarnation uint64) *Holder {
 	name := groupName(s.Group, s.Formation)
 	return &Holder{
-		group: name, formation: s.Formation, number: s.Rank,
+		group: name, formation: s.Formation, number: s.Rank, reserved: reservedBefore(s.Step),
 		rank: mapswitch.NewRank(s.Rank, name, incarnation), status: s, maps: map[uint64]group.Map{},
 	}
 }
@@ -73,10 +75,25 @@
 	if m.Kind != mapswitch.KindPromise {
 		return h.filter(h.rank.Step(now, m))
 	}
+	if m.Step > h.status.Step+reach {
+		return nil // no process could tell later that this one has asked for it
+	}
+	if !h.reserved.take(m) {
+		return []mapswitch.Message{h.passed(m)}
+	}
 	h.asked = &m
 	return h.filter(h.settle(now))
 }
 
+// passed refuses a promise of a step that another switch has had, and names the
+// highest such step.
+func (h *Holder) passed(m mapswitch.Message) mapswitch.Message {
+	return mapswitch.Message{
+		Kind: mapswitch.KindRefused, Group: h.group, Rank: h.number, Token: m.Token,
+		Epoch: m.Epoch, Step: max(h.status.Step, h.reserved.step), Reason: mapswitch.ReasonPassed,
+	}
+}
+
 // settle answers the promise that is asked for, once it is in effect or can no
 // longer be.
 func (h *Holder) settle(now time.Duration) []mapswitch.Message {
@@ -93,16 +110,22 @@
 	return h.rank.Step(now, m)
 }
 
-// filter keeps orders to load maps back, which Next carries out.
+// filter keeps orders to load maps back, which Next carries out, and word of
+// being prepared while no step could be promised; the coordinator asks again.
 func (h *Holder) filter(messages []mapswitch.Message) []mapswitch.Message {
 	kept := messages[:0]
 	for _, m := range messages {
-		if m.Kind != mapswitch.KindLoad {
+		switch {
+		case m.Kind == mapswitch.KindLoad:
+			if !h.has(m.Epoch) {
+				h.wanted = m
+			}
+		case m.Kind == mapswitch.KindPrepared && h.reserved.full(h.status.Step):
+		case m.Kind == mapswitch.KindPrepared:
+			m.Step = max(m.Step, h.reserved.step)
+			kept = append(kept, m)
+		default:
 			kept = append(kept, m)
-			continue
-		}
-		if !h.has(m.Epoch) {
-			h.wanted = m
 		}
 	}
 	return kept
--- a/rankhost/holder_test.go
+++ b/rankhost/holder_test.go
@@ -39,6 +39,27 @@
 	}
 }
 
+// TestALateReleaseFreesNoLaterPromise plays a group with little work, whose steps
+// stand still while coordinators replace each other, beside orders that are carried
+// out long after newer ones: a release of a step may meet a later promise of the
+// same step, and must not lift it.
+func TestALateReleaseFreesNoLaterPromise(t *testing.T) {
+	proof.Cell{Promise: proof.OneMap, Faults: []proof.Fault{proof.Restart, proof.Freeze, proof.CutBothWays, proof.Late, proof.Lost}, Step: "a release carried out at a later promise of its step", Together: true,
+		Guard: "reservation.take: a step is asked of an engine for one switch only"}.Log(t)
+	seeds := []uint64{487, 1288, 1517, 1699} // began a step with two maps
+	for seed := range uint64(300) {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, seed, 2)
+			w.loss, w.late, w.idle, w.longest = 0.02, 0.3, 0.5, 12*time.Second
+			w.run(90*time.Second, true)
+		})
+	}
+}
+
 // TestACalmSwitchHoldsNothingUp counts the passes that a group without trouble
 // loses to its switches.
 func TestACalmSwitchHoldsNothingUp(t *testing.T) {
--- /dev/null
+++ b/rankhost/reserved.go
@@ -0,0 +1,52 @@
+package rankhost
+
+import "github.com/lilackeel/lilackeel/group/mapswitch"
+
+const (
+	// reach is how far beyond the engine's step a switch may be, in steps. It
+	// bounds what an earlier process of the rank can have asked the engine to hold,
+	// which a later process does not know. Steps take tens of milliseconds.
+	reach = 16
+	// room is how much of reach has to be free before a rank says that it is
+	// prepared: the coordinator's lead, the steps that a group begins while it
+	// collects answers, and the raises of the step that one switch may need.
+	room = 8
+)
+
+// reservation keeps each step to one switch: a step that was asked of the engine
+// for one promise is never asked of it for another.
+//
+// It protects a promise from a late release. An engine may carry an order out
+// long after newer ones. A release that was due when the step's switch had been
+// decided would lift the hold of a later switch, if that had chosen the same step
+// again, and the group could begin the step before all of its ranks are armed.
+type reservation struct {
+	// step is the highest that may have been asked for; epoch and token are those
+	// of the promise that it was asked for, zero if that is not known.
+	step, epoch, token uint64
+}
+
+// reservedBefore returns what processes before this one may have asked of an
+// engine that is at the given step.
+func reservedBefore(step uint64) reservation {
+	return reservation{step: step + reach}
+}
+
+// take reserves the step of a promise that is asked for, or reports that it
+// cannot be had any more.
+func (r *reservation) take(m mapswitch.Message) bool {
+	if m.Step == r.step && m.Epoch == r.epoch && m.Token == r.token {
+		return true
+	}
+	if m.Step <= r.step {
+		return false
+	}
+	*r = reservation{step: m.Step, epoch: m.Epoch, token: m.Token}
+	return true
+}
+
+// full reports whether the next step that is free may be out of reach of an
+// engine at the given step.
+func (r *reservation) full(step uint64) bool {
+	return r.step+room > step+reach
+}
--- a/rankhost/world_test.go
+++ b/rankhost/world_test.go
@@ -81,8 +81,14 @@
 	proposed    group.Map
 	cut         map[int]time.Duration
 	loss, late  float64
-	trace       []string
-	switches    int
+	// idle is the part of the passes after which the group has no work for up to
+	// two seconds and makes none.
+	idle     float64
+	idleTill time.Duration
+	// longest is how late an order without an answer may be carried out.
+	longest  time.Duration
+	trace    []string
+	switches int
 }
 
 type event struct {
@@ -92,7 +98,7 @@
 }
 
 func newWorld(t *testing.T, seed uint64, ranks int) *world {
-	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), maps: map[uint64]group.Map{}, cut: map[int]time.Duration{}, token: 1}
+	w := &world{t: t, rng: rand.New(rand.NewPCG(seed, 7)), maps: map[uint64]group.Map{}, cut: map[int]time.Duration{}, token: 1, longest: 4200 * time.Millisecond}
 	shape := group.Shape{Layers: 1, Experts: 4, Ranks: ranks, Slots: 4}
 	first := group.RoundRobin(shape)
 	w.maps[1] = first
@@ -203,7 +209,7 @@
 	switch draw := w.rng.Float64(); {
 	case draw < w.late:
 		// No answer; carried out after newer orders.
-		w.after(time.Duration(200+w.rng.IntN(4000))*time.Millisecond, func() { e.carryOut(o) })
+		w.after(200*time.Millisecond+time.Duration(w.rng.Int64N(int64(w.longest-200*time.Millisecond))), func() { e.carryOut(o) })
 	case draw < w.late+w.loss:
 		e.carryOut(o) // carried out, and the answer lost
 	default:
@@ -256,7 +262,10 @@
 			w.effects(w.coordinator.Tick(w.now))
 			w.propose()
 		}
-		if w.now%(40*time.Millisecond) == 0 {
+		if w.now%(40*time.Millisecond) == 0 && w.now >= w.idleTill {
+			if w.rng.Float64() < w.idle {
+				w.idleTill = w.now + time.Duration(w.rng.IntN(2000))*time.Millisecond
+			}
 			w.pass()
 		}
 		if trouble {
