Begin a connection attempt anew only after its whole time

Cause: dialAgain took any timeout for an unanswered attempt. When the deadline of the whole dial has passed and its context does not say so yet, a dial fails at once with a timeout, was begun anew at once, and failed again: the entry used all of its processor and answered nothing. The test fails without the change (it does not end).

--- a/link/dial.go
+++ b/link/dial.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 )
@@ -18,14 +17,15 @@
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // dialAgain connects, and begins anew when an attempt gets no answer, until ctx
-// ends. A refusal is final.
+// ends. Only an attempt that has waited for its whole time is begun anew: any other
+// failure, begun anew at once, could fail at once again and again.
 func dialAgain(ctx context.Context, address string, dial dialFunc) (net.Conn, error) {
 	for limit := firstAnswer; ; limit *= 2 {
+		began := time.Now()
 		attempt, cancel := context.WithTimeout(ctx, limit)
 		conn, err := dial(attempt, "tcp", address)
 		cancel()
-		var timeout net.Error
-		unanswered := errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+		unanswered := err != nil && time.Since(began) >= limit
 		if !unanswered || ctx.Err() != nil {
 			return conn, err
 		}
--- a/link/dial_test.go
+++ b/link/dial_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -60,5 +61,13 @@
 		})
 		is.Equal(err, refused)
 		is.Equal(attempts, 1)
+
+		attempts = 0
+		_, err = dialAgain(t.Context(), "10.0.0.1:1", func(context.Context, string, string) (net.Conn, error) {
+			attempts++
+			return nil, os.ErrDeadlineExceeded // at once, as when the deadline of ctx has just passed
+		})
+		is.Equal(err, os.ErrDeadlineExceeded)
+		is.Equal(attempts, 1)
 	})
 }
