--- a/control/expertmap/decisions.go
+++ b/control/expertmap/decisions.go
@@ -12,13 +12,12 @@
 	if before.PendingEpoch == 0 || after.PendingEpoch != 0 {
 		return
 	}
-	took := slog.Duration("took", d.now()-g.began)
 	if after.Epoch == before.PendingEpoch {
 		d.cfg.Logger.Info("decided a map switch", slog.String("group", g.name), slog.Uint64("epoch", after.Epoch),
-			slog.Uint64("step", after.FromStep), took)
+			slog.Uint64("step", after.FromStep), slog.Duration("took", d.now()-g.began))
 		return
 	}
 	phase, ranks := g.coordinator.GaveUp()
 	d.cfg.Logger.Warn("gave a map switch up", slog.String("group", g.name), slog.Uint64("epoch", before.PendingEpoch),
-		slog.String("waited_for", phase.String()), slog.Any("ranks", ranks), took)
+		slog.String("waited_for", phase.String()), slog.Any("ranks", ranks), slog.Duration("took", d.now()-g.began))
 }
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -61,6 +61,7 @@
 	p.run(t)
 	t.Cleanup(func() {
 		p.kill()
+		p.checkLog(t)
 		if t.Failed() {
 			t.Logf("log of %s:\n%s", name, p.tail())
 		}
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -88,7 +88,7 @@
 		if !step.Again {
 			return x.end(step.Verdict)
 		}
-		x.note("trying again", result.fault, step.Delay)
+		x.logAgain(result.fault, step.Delay)
 		wait.For(x.caller, step.Delay)
 	}
 }
@@ -265,9 +265,9 @@
 	return clean
 }
 
-// note logs a decision on the way.
-func (x *exchange) note(what string, f *fault.Error, delay time.Duration) {
-	x.server.Logger.LogAttrs(x.caller, slog.LevelInfo, what,
+// logAgain logs that the request is tried anew, and why.
+func (x *exchange) logAgain(f *fault.Error, delay time.Duration) {
+	x.server.Logger.LogAttrs(x.caller, slog.LevelInfo, "trying again",
 		slog.String("request_id", x.request.id), slog.String("endpoint", x.target.ID), slog.Int("attempts", len(x.tried)),
 		slog.Duration("delay", delay), slog.String("reason", f.Error()))
 }
--- a/telemetry/install.go
+++ b/telemetry/install.go
@@ -17,7 +17,7 @@
 // the log is JSON lines. A daemon calls it once, before it makes connections.
 func Install(logger *slog.Logger) {
 	slog.SetDefault(logger)
-	grpclog.SetLoggerV2(&grpcLogger{logger: logger.With("library", "grpc"), last: map[string]time.Time{}})
+	grpclog.SetLoggerV2(&grpcLogger{logger: logger.With("library", "grpc"), last: map[string]warning{}})
 	otel.SetErrorHandler(otel.ErrorHandlerFunc(func(err error) {
 		logger.Warn("spans cannot be exported", "library", "opentelemetry", "error", err)
 	}))
@@ -40,20 +40,28 @@
 	logger *slog.Logger
 
 	mu   sync.Mutex
-	last map[string]time.Time
+	last map[string]warning
+}
+
+// warning is one kind of warning.
+type warning struct {
+	// written is when it was written last, leftOut how often it was not since.
+	written time.Time
+	leftOut int
 }
 
 // warn writes a warning unless one like it was written a moment ago.
 func (g *grpcLogger) warn(message string) {
-	if g.repeated(message, time.Now()) {
+	leftOut, repeated := g.repeated(message, time.Now())
+	if repeated {
 		return
 	}
-	g.logger.Warn(message)
+	g.logger.Warn(message, slog.Int("left_out", leftOut))
 }
 
-// repeated notes a warning and reports whether one like it is recent. Digits do
-// not tell warnings apart.
-func (g *grpcLogger) repeated(message string, now time.Time) bool {
+// repeated notes a warning and reports whether one like it is recent, or else how
+// many like it were left out before. Digits do not tell warnings apart.
+func (g *grpcLogger) repeated(message string, now time.Time) (leftOut int, repeated bool) {
 	kind := strings.Map(func(r rune) rune {
 		if r >= '0' && r <= '9' {
 			return -1
@@ -64,14 +72,16 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	before, known := g.last[kind]
-	if known && now.Sub(before) < repeatAfter {
-		return true
+	if known && now.Sub(before.written) < repeatAfter {
+		before.leftOut++
+		g.last[kind] = before
+		return 0, true
 	}
 	if len(g.last) >= maxRemembered {
 		clear(g.last)
 	}
-	g.last[kind] = now
-	return false
+	g.last[kind] = warning{written: now}
+	return before.leftOut, false
 }
 
 func (g *grpcLogger) Info(...any)          {}
