Act for a rank's host that is gone while its engine holds a step

Cause: only the host of a rank released a step that it had held, so a group stood still until a host that was killed in the 30 ms of a switch was back; and the next switch began while a host was silent, and held the group up once more. Change: rankhost.Rescue, pure, from the engine's status and the decided record; the leader's driver gives its order after a quorum read that follows the status; no switch begins while a host is silent or has not acknowledged the last decision, and one being prepared is given up. Safe since a step is asked of an engine for one switch only. Before: a host killed as it gave an order held its group until it was back.

--- a/control/expertmap/balancing_test.go
+++ b/control/expertmap/balancing_test.go
@@ -27,6 +27,9 @@
   storeBytesPerSecond: 1e9
 `
 
+// balancedGroup is the group of the file.
+const balancedGroup = "lilackeel-pool"
+
 // Counted loads that stay uneven lead to a map that evens the ranks out, and
 // without a policy nothing is proposed.
 func TestBalancingProposesAMoreEvenMap(t *testing.T) {
@@ -38,23 +41,23 @@
 	var policy *fleetv1.BalancePolicy
 	b := &Balancing{Configs: groups.Configs, Logger: slog.New(slog.DiscardHandler),
 		Policy: func(string) *fleetv1.BalancePolicy { return policy }}
-	shape := groups.Shapes[testGroup]
+	shape := groups.Shapes[balancedGroup]
 	current := group.RoundRobin(shape)
 	tokens := []uint64{9000, 500, 500, 500, 9000, 500, 500, 500}
 	run := func() (next group.Map, ok bool) {
 		for i := 1; i <= 200 && !ok; i++ {
 			for layer := range shape.Layers {
 				for rank := range shape.Ranks {
-					b.Observe(&agentv1.ExpertLoad{Group: testGroup, Rank: int32(rank), Layer: int32(layer), Tokens: tokens, FromStep: uint64(i * 100), ToStep: uint64(i*100 + 100)})
+					b.Observe(&agentv1.ExpertLoad{Group: balancedGroup, Rank: int32(rank), Layer: int32(layer), Tokens: tokens, FromStep: uint64(i * 100), ToStep: uint64(i*100 + 100)})
 				}
 			}
-			next, ok = b.Propose(time.Duration(i)*defaultInterval, testGroup, current)
+			next, ok = b.Propose(time.Duration(i)*defaultInterval, balancedGroup, current)
 		}
 		return next, ok
 	}
 	_, ok := run()
 	is.True(!ok)
-	policy = &fleetv1.BalancePolicy{Group: testGroup, Evenness: 1, MaxMoves: 4, StoreShare: 0.5, Revision: 1}
+	policy = &fleetv1.BalancePolicy{Group: balancedGroup, Evenness: 1, MaxMoves: 4, StoreShare: 0.5, Revision: 1}
 	next, ok := run()
 	is.True(ok)
 	load := make([]float64, shape.Layers*shape.Experts)
--- a/control/expertmap/driver.go
+++ b/control/expertmap/driver.go
@@ -67,6 +67,8 @@
 	LogTime func() int64
 	// Options returns those of a group's coordinator; nil for the defaults.
 	Options func(group string) mapswitch.Options
+	// Rescue may be zero: hosts that are silent are then waited for.
+	Rescue Rescue
 	// Logger must be set.
 	Logger *slog.Logger
 }
@@ -79,6 +81,8 @@
 	// calling names the agents with a call under way.
 	calling map[string]bool
 	results chan func()
+	// heard is when each agent answered last, or was first called.
+	heard map[string]time.Duration
 	// ranks says which agents serve the ranks at the revision.
 	ranks    addresses
 	revision uint64
@@ -100,6 +104,8 @@
 	began time.Duration
 	// polled is when all agents of the group were last called.
 	polled time.Duration
+	// rescuedAt is when the engines of silent hosts were looked at last.
+	rescuedAt time.Duration
 	// fenced is set once another coordinator has taken over.
 	fenced bool
 }
@@ -111,6 +117,7 @@
 		started: time.Now(),
 		groups:  map[string]*groupState{},
 		calling: map[string]bool{},
+		heard:   map[string]time.Duration{},
 		results: make(chan func(), queueSize),
 	}
 }
@@ -156,6 +163,7 @@
 		d.learn(ctx, g, out)
 		d.effects(ctx, g, g.coordinator.Tick(d.now()), out)
 		d.propose(ctx, g, shape, out)
+		d.rescue(ctx, g, shape, out)
 		d.poll(g, shape, out)
 	}
 	d.send(ctx, out)
@@ -165,12 +173,7 @@
 // hear: a rank that waits, and what ranks have counted, is only heard in an
 // answer.
 func (d *Driver) poll(g *groupState, shape group.Shape, out *outbox) {
-	interval := restInterval
-	if d.cfg.ObserveEvery != nil {
-		if wanted := d.cfg.ObserveEvery(g.name); wanted > 0 {
-			interval = min(interval, wanted/2)
-		}
-	}
+	interval := d.pollInterval(g.name)
 	if g.coordinator.Phase() != mapswitch.PhaseIdle {
 		interval = min(interval, switchInterval)
 	}
@@ -183,6 +186,17 @@
 	}
 }
 
+// pollInterval is the time between two calls to all agents of a group at rest.
+func (d *Driver) pollInterval(name string) time.Duration {
+	interval := restInterval
+	if d.cfg.ObserveEvery != nil {
+		if wanted := d.cfg.ObserveEvery(name); wanted > 0 {
+			interval = min(interval, wanted/2)
+		}
+	}
+	return interval
+}
+
 // group returns the group's coordinator, made at the first look.
 func (d *Driver) group(name string, shape group.Shape) *groupState {
 	if g := d.groups[name]; g != nil {
@@ -243,6 +257,9 @@
 	if d.cfg.Proposer == nil || g.committing || pending || g.coordinator.Phase() != mapswitch.PhaseIdle {
 		return
 	}
+	if len(g.coordinator.Unacknowledged()) > 0 || len(d.silent(g.name, shape)) > 0 {
+		return
+	}
 	current, err := d.current(g)
 	if err != nil {
 		return
--- a/control/expertmap/driver_test.go
+++ b/control/expertmap/driver_test.go
@@ -22,7 +22,7 @@
 	"github.com/lilackeel/lilackeel/proof"
 )
 
-const testGroup = "lilackeel-pool"
+const testGroup = "lilackeel-pool/1"
 
 var testShape = group.Shape{Layers: 2, Experts: 4, Ranks: 4, Slots: 2}
 
@@ -228,7 +228,7 @@
 	return &controlv1.AnnounceRequest{
 		Agent: name, Host: name, Zone: "sahel-a", Addr: "10.0.0.1:" + string(rune('1'+rank)), Incarnation: 1, Full: true,
 		Endpoints: []*fleetv1.Endpoint{{
-			Id: "engine-" + string(rune('a'+rank)), Pool: testGroup, Kind: fleetv1.EndpointKind_ENDPOINT_KIND_ENGINE,
+			Id: "engine-" + string(rune('a'+rank)), Pool: "lilackeel-pool", Kind: fleetv1.EndpointKind_ENDPOINT_KIND_ENGINE,
 			Slots: 8, Group: testGroup, Rank: int32(rank),
 		}},
 	}
--- a/control/expertmap/outbox.go
+++ b/control/expertmap/outbox.go
@@ -93,7 +93,9 @@
 // receive takes in what an agent answered.
 func (d *Driver) receive(ctx context.Context, addr string, response *agentv1.GroupResponse, err error) {
 	delete(d.calling, addr)
-	if err != nil {
+	if err == nil {
+		d.heard[addr] = d.now()
+	} else {
 		d.cfg.Logger.Debug("an agent did not take messages of the map switch", "agent", addr, "error", err)
 		return
 	}
--- /dev/null
+++ b/control/expertmap/rescue_test.go
@@ -0,0 +1,127 @@
+package expertmap
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/contract"
+	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/group"
+	"github.com/lilackeel/lilackeel/group/mapswitch"
+	"github.com/lilackeel/lilackeel/proof"
+	"github.com/lilackeel/lilackeel/rankhost"
+)
+
+// deaf is the site's transport without the host of one rank.
+type deaf struct {
+	*site
+	addr string
+}
+
+func (d deaf) Group(ctx context.Context, addr string, request *agentv1.GroupRequest) (*agentv1.GroupResponse, error) {
+	if addr == d.addr {
+		return nil, fault.New(fault.Unavailable, "the host is frozen", "")
+	}
+	return d.site.Group(ctx, addr, request)
+}
+
+// heldEngine holds a step until it is released.
+type heldEngine struct {
+	mu     sync.Mutex
+	status rankhost.Status
+	// read is set when the status is read, and cleared when the record is.
+	read     bool
+	orders   []rankhost.Order
+	released time.Time
+}
+
+func (e *heldEngine) Status(context.Context) (rankhost.Status, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.read = true
+	return e.status, nil
+}
+
+func (e *heldEngine) Counts(context.Context) (rankhost.Counts, error) { return rankhost.Counts{}, nil }
+
+func (e *heldEngine) Give(_ context.Context, o rankhost.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, o)
+	switch o.Kind {
+	case rankhost.Arm:
+		e.status.Armed = o.Version
+	case rankhost.Release:
+		e.status.HasHeld = false
+		e.released = time.Now()
+	}
+	return nil
+}
+
+// TestTheLeaderActsForASilentHost loses the host of one rank while its engine holds
+// a step: the leader releases it, once it has read the engine and then the record.
+func TestTheLeaderActsForASilentHost(t *testing.T) {
+	proof.Cell{Promise: proof.OneMap, Faults: []proof.Fault{proof.Freeze}, Step: "host frozen while its engine holds a step, driven over the replicated state",
+		Guard: "Driver.rescue; the record is read after the status"}.Log(t)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &site{rng: rand.New(rand.NewPCG(1, 1)), state: contract.NewState(), epochs: map[uint64]bool{}, began: time.Now()}
+		for rank := range testShape.Ranks {
+			s.ranks = append(s.ranks, mapswitch.NewRank(rank, testGroup, 1))
+			data, err := contract.EncodeAnnounce(0, announcement(rank))
+			is.NoErr(err)
+			s.index++
+			is.True(s.state.Apply(s.index, 1, data).(*contract.Result).Err == nil)
+		}
+		engine := &heldEngine{status: rankhost.Status{Group: "lilackeel-pool", Formation: 1, Rank: 2, Size: 4, Open: true, Step: 6, Held: 7, HasHeld: true}}
+		inOrder := true
+		rescue := Rescue{
+			Engine: func(id string) rankhost.Engine {
+				if id == "engine-c" {
+					return engine
+				}
+				return nil
+			},
+			Read: func(context.Context, string) (*fleetv1.MapRecord, uint64, error) {
+				engine.mu.Lock()
+				inOrder = inOrder && engine.read
+				engine.read = false
+				engine.mu.Unlock()
+				stored, fence := s.state.FencedMapRecord(testGroup)
+				return stored, fence, nil
+			},
+		}
+		data, err := contract.EncodeIssueFence(0)
+		is.NoErr(err)
+		s.index++
+		token := s.state.Apply(s.index, 1, data).(*contract.Result).Fence
+		driver := NewDriver(Config{
+			State: s.state, Log: s, Transport: deaf{s, "10.0.0.1:3"}, Rescue: rescue,
+			Shapes: func() map[string]group.Shape { return map[string]group.Shape{testGroup: testShape} }, Token: token,
+			LogTime: func() int64 { return 0 }, Logger: slog.New(slog.DiscardHandler),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go driver.Run(ctx)
+		began := time.Now()
+		time.Sleep(5 * time.Second)
+		cancel()
+		time.Sleep(time.Second) // calls under way end
+		engine.mu.Lock()
+		defer engine.mu.Unlock()
+		is.Equal(len(engine.orders), 1)
+		is.Equal(engine.orders[0], rankhost.Order{Kind: rankhost.Release, Formation: 1, Step: 7})
+		is.True(inOrder)
+		is.True(engine.released.Sub(began) >= rescueAfter)  // its host had time to do it itself
+		is.True(engine.released.Sub(began) < 3*time.Second) // its calls at rest are a second apart
+	})
+}
--- a/control/formations.go
+++ b/control/formations.go
@@ -100,6 +100,7 @@
 	found := &formations{state: m.state}
 	return expertmap.Config{
 		State: m.state, Log: m.log, Transport: agentTransport{m.pool}, Shapes: found.all, Token: l.fence, LogTime: l.logTime, Logger: m.logger,
+		Rescue:       m.rescue(),
 		Proposer:     &expertmap.Following{Config: found.config, Interval: followInterval, Logger: m.logger},
 		ObserveEvery: func(string) time.Duration { return followInterval },
 		Options: func(string) mapswitch.Options {
--- a/control/maps.go
+++ b/control/maps.go
@@ -12,6 +12,7 @@
 	"github.com/lilackeel/lilackeel/control/expertmap"
 	"github.com/lilackeel/lilackeel/group"
 	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/rankhost"
 )
 
 // mapper switches the expert maps of the groups in the terms that this replica leads.
@@ -20,6 +21,8 @@
 	log    Log
 	pool   *link.Pool
 	groups expertmap.Groups
+	// engine reaches an engine without its rank's host; nil where that cannot be.
+	engine func(address string) rankhost.Engine
 	logger *slog.Logger
 }
 
@@ -49,6 +52,28 @@
 	}
 }
 
+// rescue says how silent hosts of ranks are stood in for.
+func (m *mapper) rescue() expertmap.Rescue {
+	if m.engine == nil {
+		return expertmap.Rescue{}
+	}
+	return expertmap.Rescue{
+		Engine: func(id string) rankhost.Engine {
+			if address, ok := rankhost.EndpointOf(id); ok {
+				return m.engine(address)
+			}
+			return nil
+		},
+		Read: func(ctx context.Context, group string) (*fleetv1.MapRecord, uint64, error) {
+			if _, err := m.log.ReadIndex(ctx); err != nil {
+				return nil, 0, err
+			}
+			record, fence := m.state.FencedMapRecord(group)
+			return record, fence, nil
+		},
+	}
+}
+
 // policy returns the accepted policy of a group, or nil.
 func (m *mapper) policy(group string) *fleetv1.BalancePolicy {
 	for _, policy := range m.state.Configuration().GetPolicies() {
--- a/control/settings.go
+++ b/control/settings.go
@@ -10,6 +10,7 @@
 	"github.com/lilackeel/lilackeel/control/expertmap"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/rankhost"
 	"github.com/lilackeel/lilackeel/replica"
 	"github.com/lilackeel/lilackeel/replica/server"
 	"github.com/lilackeel/lilackeel/setting"
@@ -62,6 +63,10 @@
 	GroupsFile string
 	Groups     expertmap.Groups
 
+	// Engine reaches an engine that holds its steps itself by its address; nil where
+	// none is used. It lets the leader act for a rank's host that is silent.
+	Engine func(address string) rankhost.Engine
+
 	// Link secures the connections, Telemetry sets up logs, metrics and traces.
 	Link      link.Config
 	Telemetry telemetry.Config
--- a/group/mapswitch/coordinator.go
+++ b/group/mapswitch/coordinator.go
@@ -111,6 +111,18 @@
 // was, and the ranks whose answers were missing then.
 func (c *Coordinator) GaveUp() (Phase, []int) { return c.gaveUp, c.missing }
 
+// Unacknowledged returns the ranks that have not said that they know the newest
+// decision. A switch that begins before they have could not end before they do.
+func (c *Coordinator) Unacknowledged() []int {
+	var ranks []int
+	for rank, member := range c.members {
+		if member.acked < c.record.Revision {
+			ranks = append(ranks, rank)
+		}
+	}
+	return ranks
+}
+
 // Propose begins a switch to the given map. The driver must store the map under
 // the epoch of the returned entry together with the entry.
 func (c *Coordinator) Propose(now time.Duration, m group.Map) ([]Effect, error) {
@@ -124,6 +136,15 @@
 	return c.commit(now, PhaseBeginning, entry), nil
 }
 
+// Cancel gives up a switch that is being prepared, for a reason that the driver
+// knows. Once promises are asked for it ends by itself, and soon.
+func (c *Coordinator) Cancel(now time.Duration) []Effect {
+	if c.phase != PhasePreparing {
+		return nil
+	}
+	return c.decide(now, EntryAbort, 0)
+}
+
 // Committed tells the coordinator the record after an entry of the group was
 // committed, whoever proposed it.
 func (c *Coordinator) Committed(now time.Duration, record Record) []Effect {
--- a/rankhost/announce.go
+++ b/rankhost/announce.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"time"
 
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
@@ -80,9 +81,13 @@
 		Zone: a.settings.Zone,
 	}
 	if s.Open && s.Group != "" {
-		record.Group = groupName(s.Group, s.Formation)
+		record.Group = s.Name()
 		record.Rank = int32(s.Rank)
 		record.GroupSize = int32(s.Size)
 	}
 	return record
 }
+
+// EndpointOf returns the address of the engine of a rank by the id of the rank's
+// record; ok is false for the record of anything else.
+func EndpointOf(id string) (address string, ok bool) { return strings.CutPrefix(id, rankPrefix) }
--- a/rankhost/engine.go
+++ b/rankhost/engine.go
@@ -27,6 +27,10 @@
 	Running, Waiting int
 }
 
+// Name returns the name of the formation, under which its expert maps are
+// decided.
+func (s Status) Name() string { return groupName(s.Group, s.Formation) }
+
 // Counts is what the requests of a rank have asked of each expert.
 type Counts struct {
 	// Formation is that of the group, Step the last step counted.
--- a/rankhost/holder.go
+++ b/rankhost/holder.go
@@ -38,7 +38,7 @@
 // NewHolder returns the holder of a rank whose engine has the given status. The
 // incarnation must differ from those of all others that served the rank.
 func NewHolder(s Status, incarnation uint64) *Holder {
-	name := groupName(s.Group, s.Formation)
+	name := s.Name()
 	return &Holder{
 		group: name, formation: s.Formation, number: s.Rank, reserved: reservedBefore(s.Step),
 		rank: mapswitch.NewRank(s.Rank, name, incarnation), status: s, maps: map[uint64]group.Map{},
--- a/rankhost/holder_test.go
+++ b/rankhost/holder_test.go
@@ -60,6 +60,45 @@
 	}
 }
 
+// TestAnyoneMayRescueAnEngine lets someone act for hosts on late knowledge and with
+// late orders, while the hosts work, freeze and start again.
+func TestAnyoneMayRescueAnEngine(t *testing.T) {
+	proof.Cell{Promise: proof.OneMap, Faults: []proof.Fault{proof.Restart, proof.Freeze, proof.CutBothWays, proof.Late, proof.Lost}, Step: "orders of another that acts for a silent host", Together: true,
+		Guard: "Rescue only of what is decided"}.Log(t)
+	rescues := 0
+	for seed := range uint64(200) {
+		w := newWorld(t, seed, 2+int(seed%2))
+		w.loss, w.late, w.idle, w.longest, w.rescue = 0.02, 0.3, 0.5, 12*time.Second, true
+		w.run(60*time.Second, true)
+		rescues += w.rescues
+	}
+	is.New(t).True(rescues > 500)
+}
+
+// TestAGroupRunsOnWithoutTheHostThatHolds loses the host of a rank for good while
+// its engine holds a step.
+func TestAGroupRunsOnWithoutTheHostThatHolds(t *testing.T) {
+	proof.Cell{Promise: proof.OneMap, Faults: []proof.Fault{proof.Kill}, Step: "host gone for good while its engine holds a step",
+		Guard: "Rescue"}.Log(t)
+	is := is.New(t)
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 3)
+		w.longest = time.Second
+		lost := w.engines[1]
+		for !lost.hasHeld {
+			w.run(w.now+time.Millisecond, false)
+		}
+		lost.frozenTill = time.Hour
+		w.run(w.now+time.Second, false)
+		step := w.step
+		w.run(w.now+time.Second, false)
+		is.Equal(w.step, step) // without the rescue it stands still
+		w.rescue = true
+		w.run(w.now+5*time.Second, false)
+		is.True(w.step > step+20)
+	}
+}
+
 // TestACalmSwitchHoldsNothingUp counts the passes that a group without trouble
 // loses to its switches.
 func TestACalmSwitchHoldsNothingUp(t *testing.T) {
--- a/rankhost/world_test.go
+++ b/rankhost/world_test.go
@@ -85,6 +85,9 @@
 	// two seconds and makes none.
 	idle     float64
 	idleTill time.Duration
+	// rescue lets someone act for hosts that are silent.
+	rescue  bool
+	rescues int
 	// longest is how late an order without an answer may be carried out.
 	longest  time.Duration
 	trace    []string
@@ -258,6 +261,9 @@
 				w.look(e)
 			}
 		}
+		if w.rescue && w.now%(50*time.Millisecond) == 0 {
+			w.standIn(w.engines[w.rng.IntN(len(w.engines))])
+		}
 		if w.now%(10*time.Millisecond) == 0 {
 			w.effects(w.coordinator.Tick(w.now))
 			w.propose()
@@ -274,10 +280,31 @@
 	}
 }
 
+// standIn acts for a host, silent or not: it reads the engine's status, which is
+// late, then the record, and gives the order that follows, perhaps much later.
+func (w *world) standIn(e *fakeEngine) {
+	status := e.status()
+	w.after(time.Duration(w.rng.IntN(400))*time.Millisecond, func() {
+		o, ok := Rescue(status, w.record)
+		if !ok {
+			return
+		}
+		w.rescues++
+		delay := time.Duration(w.rng.IntN(20)) * time.Millisecond
+		if w.rng.Float64() < w.late {
+			delay = time.Duration(w.rng.Int64N(int64(w.longest)))
+		}
+		w.after(delay, func() { e.carryOut(o) })
+	})
+}
+
 func (w *world) propose() {
 	if w.coordinator.Phase() != mapswitch.PhaseIdle || w.record.PendingEpoch != 0 || w.coordinator.Record() != w.record {
 		return
 	}
+	if len(w.coordinator.Unacknowledged()) > 0 {
+		return
+	}
 	next := w.maps[1].Clone()
 	next.Slots[len(next.Slots)-1] = uint16(w.rng.IntN(4))
 	w.proposed = next
