--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -48,6 +48,8 @@
 	target  endpoint.Endpoint
 	outcome string
 	reason  string
+	// retryAfter is when a refused caller is asked to come back.
+	retryAfter time.Duration
 	// placed, first and longest are the times from the request's arrival to its
 	// place and to the first part of its answer, and its longest pause after that.
 	placed, first, longest time.Duration
@@ -224,7 +226,7 @@
 // when the connection must be aborted.
 func (x *exchange) end(v *call.Verdict) bool {
 	s, q := x.server, x.request
-	x.outcome, x.reason = v.Outcome.String(), v.Fault.Error()
+	x.outcome, x.reason, x.retryAfter = v.Outcome.String(), v.Fault.Error(), v.Fault.RetryAfter
 	if x.opened {
 		return x.logEnd(0, false)
 	}
@@ -261,7 +263,8 @@
 		slog.String("workspace", q.workspace.GetName()), slog.String("pool", q.pool), slog.String("endpoint", x.target.ID),
 		slog.Int("attempts", len(x.tried)), slog.String("outcome", x.outcome), slog.Int("status", status),
 		slog.Duration("placed", x.placed), slog.Duration("first", x.first), slog.Duration("longest_pause", x.longest),
-		slog.Duration("took", took), slog.Duration("left", q.deadline-s.clock()), slog.String("reason", x.reason))
+		slog.Duration("took", took), slog.Duration("left", q.deadline-s.clock()),
+		slog.Duration("retry_after", x.retryAfter), slog.String("reason", x.reason))
 	return clean
 }
 
