--- a/measure/following/run.go
+++ b/measure/following/run.go
@@ -1,6 +1,7 @@
 package following
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -116,9 +117,10 @@
 		return
 	}
 	if w.policy.Knowing {
-		copy(w.seen, load)
+		w.follower.Observe(load)
+	} else {
+		w.follower.Observe(w.noisy())
 	}
-	w.follower.Observe(w.noisy())
 	clear(w.seen)
 	if w.switchEnds > 0 {
 		return
@@ -147,11 +149,25 @@
 	w.past = w.past[1:]
 }
 
+// picksPerSecond is how many choices of an expert are counted in a layer, at the
+// load of a quiet day, from the scatter of its observations: an expert with 4% of
+// the choices was seen with 4.0 to 5.4% of those of 150 ms.
+const picksPerSecond = 16000
+
 // noisy returns what was seen, with the scatter of counts.
 func (w *world) noisy() []float64 {
 	seen := slices.Clone(w.seen)
-	for i := range seen {
-		seen[i] *= 1 + 0.03*w.noise.NormFloat64()
+	experts := w.shape.Experts
+	for first := 0; first < len(seen); first += experts {
+		var sum float64
+		for _, tokens := range seen[first : first+experts] {
+			sum += tokens
+		}
+		picks := sum * tick.Seconds() * picksPerSecond
+		for i := first; i < first+experts && sum > 0; i++ {
+			share := seen[i] / sum
+			seen[i] = max(0, sum*(share+math.Sqrt(share/picks)*w.noise.NormFloat64()))
+		}
 	}
 	return seen
 }
