--- a/operator/table.go
+++ b/operator/table.go
@@ -168,6 +168,7 @@
 
 func writeConfiguration(w io.Writer, c *fleetv1.Configuration) {
 	fmt.Fprintf(w, "Revision %d\n\n", c.GetRevision())
+	writeSite(w, c.GetSite())
 	t := newTable(w, "WORKSPACE", "IMPORTANCE", "GUARANTEED", "CONCURRENT", "MODELS", "REVISION")
 	for _, each := range c.GetWorkspaces() {
 		t.row(each.GetName(), strconv.Itoa(int(each.GetImportance())), fmt.Sprintf("%g%%", each.GetGuaranteedShare()*100),
