Forget the endpoints that have been gone longest

Ruled out: an age, which would have to be stored, and the leases of agents, whose endpoints keep their ids. Change: as a lease expires, the state drops the records of such endpoints that were silent first, beyond 8,192 (6.7 MB; above three times the largest site, so that a cut from all endpoints forgets none), with the records of their announcers. One that was only cut off comes back with its next heartbeat.

--- a/contract/agent.go
+++ b/contract/agent.go
@@ -1,7 +1,9 @@
 package contract
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 
 	"google.golang.org/protobuf/proto"
 
@@ -235,12 +237,57 @@
 			refs = append(refs, objectRef{endpointKind, id})
 		}
 	}
+	refs = append(refs, s.forgetGone()...)
 	if len(refs) > 0 {
 		s.commit(refs)
 	}
 	return &Result{}
 }
 
+// maxGone is how many endpoints that announced themselves and are not heard any
+// more are remembered. Such an endpoint has a new id at each start, so that the
+// records would grow without end; it may also be well and only cut off, and is then
+// not to be forgotten. So the bound is above three times the endpoints of the
+// largest site designed for, at 813 bytes each, and three weeks of restarts there.
+const maxGone = 8192
+
+// forgetGone drops the endpoints that announced themselves and were silent first,
+// beyond maxGone, and returns what has changed.
+func (s *State) forgetGone() []objectRef {
+	var gone []*fleetv1.Endpoint
+	for _, entry := range s.endpoints {
+		if entry.announced.GetAddr() != "" && !entry.live && !entry.kept() {
+			gone = append(gone, entry.message)
+		}
+	}
+	if len(gone) <= s.maxGone {
+		return nil
+	}
+	slices.SortFunc(gone, func(a, b *fleetv1.Endpoint) int {
+		return cmp.Or(cmp.Compare(a.GetRevision(), b.GetRevision()), strings.Compare(a.GetId(), b.GetId()))
+	})
+	var refs []objectRef
+	for _, endpoint := range gone[:len(gone)-s.maxGone] {
+		s.dropEndpoint(endpoint.GetId())
+		s.forgetAgent(endpoint)
+		refs = append(refs, objectRef{endpointKind, endpoint.GetId()})
+	}
+	return refs
+}
+
+// forgetAgent drops what is known of the announcer of an endpoint that is dropped,
+// unless it announces others.
+func (s *State) forgetAgent(endpoint *fleetv1.Endpoint) {
+	agent := s.agents[endpoint.GetAgent()]
+	if agent == nil {
+		return
+	}
+	agent.holds = slices.DeleteFunc(slices.Clone(agent.holds), func(id string) bool { return id == endpoint.GetId() })
+	if len(agent.holds) == 0 {
+		delete(s.agents, agent.name)
+	}
+}
+
 // currentAgent returns the agent if ref is its present incarnation.
 func (s *State) currentAgent(name string, incarnation uint64) (*agentEntry, *fault.Error) {
 	agent := s.agents[name]
--- a/contract/state.go
+++ b/contract/state.go
@@ -30,6 +30,9 @@
 	// site is nil where none was published.
 	site *siteEntry
 
+	// maxGone is the bound of that name; tests set a smaller one.
+	maxGone int
+
 	// keyOwners names the workspace of each key digest.
 	keyOwners map[string]string
 
@@ -43,7 +46,7 @@
 
 // NewState returns an empty state at revision zero.
 func NewState() *State {
-	s := &State{claims: claimTable{claimBounds: defaultBounds}}
+	s := &State{claims: claimTable{claimBounds: defaultBounds}, maxGone: maxGone}
 	s.reset()
 	return s
 }
