Bound the leader's calls to ranks; log a silent host once

A silent host wrote a line each 0.4 s. Change: the calls at rest share a budget of 250 a second: 16 ranks keep their 75 ms, 300 are called each 1.2 s. A look at the engine of a silent host is logged once in a silence.

--- a/control/expertmap/driver.go
+++ b/control/expertmap/driver.go
@@ -21,6 +21,11 @@
 	// agents of a group, at rest and during a switch.
 	restInterval   = time.Second
 	switchInterval = 50 * time.Millisecond
+	// callBudget is how many calls a second the leader makes to the ranks of all
+	// groups at rest: 16 ranks are called each 75 ms, as their demand needs it, and 300
+	// each 1.2 s. Without it the calls to the ranks of 300 hosts took nine tenths of a
+	// core, at 13 calls a second each.
+	callBudget = 250
 	// callTimeout bounds a call to an agent.
 	callTimeout = time.Second
 	// queueSize bounds the results that wait for the driver.
@@ -106,6 +111,8 @@
 	polled time.Duration
 	// rescuedAt is when the engines of silent hosts were looked at last.
 	rescuedAt time.Duration
+	// looked are the ranks whose engines were looked at in the present silence.
+	looked map[int]bool
 	// fenced is set once another coordinator has taken over.
 	fenced bool
 }
@@ -186,7 +193,8 @@
 	}
 }
 
-// pollInterval is the time between two calls to all agents of a group at rest.
+// pollInterval is the time between two calls to all agents of a group at rest. With
+// many ranks it grows, so that the leader's calls stay within callBudget.
 func (d *Driver) pollInterval(name string) time.Duration {
 	interval := restInterval
 	if d.cfg.ObserveEvery != nil {
@@ -194,7 +202,7 @@
 			interval = min(interval, wanted/2)
 		}
 	}
-	return interval
+	return max(interval, time.Duration(len(d.ranks))*time.Second/callBudget)
 }
 
 // group returns the group's coordinator, made at the first look.
@@ -214,6 +222,7 @@
 	g := &groupState{
 		name:        name,
 		coordinator: mapswitch.NewCoordinator(name, shape.Ranks, d.cfg.Token, record, options),
+		looked:      map[int]bool{},
 	}
 	d.groups[name] = g
 	return g
--- a/control/expertmap/outbox.go
+++ b/control/expertmap/outbox.go
@@ -93,12 +93,11 @@
 // receive takes in what an agent answered.
 func (d *Driver) receive(ctx context.Context, addr string, response *agentv1.GroupResponse, err error) {
 	delete(d.calling, addr)
-	if err == nil {
-		d.heard[addr] = d.now()
-	} else {
+	if err != nil {
 		d.cfg.Logger.Debug("an agent did not take messages of the map switch", "agent", addr, "error", err)
 		return
 	}
+	d.heard[addr] = d.now()
 	out := newOutbox(d.agents())
 	for _, message := range response.GetMessages() {
 		m, err := mapwire.FromProto(message)
--- a/control/expertmap/rescue.go
+++ b/control/expertmap/rescue.go
@@ -6,7 +6,6 @@
 	"time"
 
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
-	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/group"
 	"github.com/lilackeel/lilackeel/group/mapswitch"
 	"github.com/lilackeel/lilackeel/group/mapwire"
@@ -44,6 +43,7 @@
 	}
 	silent := d.silent(g.name, shape)
 	if len(silent) == 0 {
+		clear(g.looked)
 		return
 	}
 	d.effects(ctx, g, g.coordinator.Cancel(d.now()), out)
@@ -55,7 +55,8 @@
 	for _, rank := range silent {
 		engine := d.cfg.Rescue.Engine(ids[rankName{g.name, rank}])
 		if engine != nil {
-			go d.rescueRank(ctx, g.name, rank, engine)
+			go d.rescueRank(ctx, g.name, rank, engine, !g.looked[rank])
+			g.looked[rank] = true
 		}
 	}
 }
@@ -88,11 +89,15 @@
 }
 
 // rescueRank gives the engine of one rank the order that its host would give. The
-// record is read after the engine's status: see rankhost.Rescue.
-func (d *Driver) rescueRank(ctx context.Context, name string, rank int, engine rankhost.Engine) {
+// record is read after the engine's status: see rankhost.Rescue. Only the first look
+// of a silence logs that it was in vain.
+func (d *Driver) rescueRank(ctx context.Context, name string, rank int, engine rankhost.Engine, first bool) {
 	ctx, cancel := context.WithTimeout(ctx, rescueTimeout)
 	defer cancel()
 	status, err := engine.Status(ctx)
+	if err != nil && !first {
+		return // logged before
+	}
 	if err != nil {
 		d.cfg.Logger.Info("the engine of a silent host is silent too", "group", name, "rank", rank, "error", err)
 		return
@@ -101,6 +106,9 @@
 		return // it has left the formation, of which nothing is known any more
 	}
 	stored, fence, err := d.cfg.Rescue.Read(ctx, name)
+	if err != nil && !first {
+		return // logged before
+	}
 	if err != nil {
 		d.cfg.Logger.Info("no quorum says what is decided for a silent host", "group", name, "rank", rank, "error", err)
 		return
@@ -114,10 +122,7 @@
 	if !ok {
 		return
 	}
-	err = engine.Give(ctx, order)
-	if fault.Is(err, fault.Conflict) {
-		err = nil // done already: the status is a little old
-	}
+	err = engine.Give(ctx, order) // a conflict if it was done since the status was read
 	d.cfg.Logger.Warn("acted for the silent host of a rank", slog.String("group", name), slog.Int("rank", rank),
 		slog.String("order", order.Kind.String()), slog.Uint64("version", order.Version), slog.Uint64("step", order.Step), slog.Any("error", err))
 }
--- a/control/expertmap/rescue_test.go
+++ b/control/expertmap/rescue_test.go
@@ -125,3 +125,20 @@
 		is.True(engine.released.Sub(began) < 3*time.Second) // its calls at rest are a second apart
 	})
 }
+
+// TestManyRanksAreCalledMoreRarely keeps the calls at rest within the budget, and a
+// small group at the pace that its demand needs.
+func TestManyRanksAreCalledMoreRarely(t *testing.T) {
+	for _, test := range []struct {
+		ranks int
+		want  time.Duration
+	}{{16, 75 * time.Millisecond}, {250, time.Second}, {2500, 10 * time.Second}} {
+		is := is.New(t)
+		d := NewDriver(Config{ObserveEvery: func(string) time.Duration { return 150 * time.Millisecond }})
+		d.ranks = addresses{}
+		for rank := range test.ranks {
+			d.ranks[rankName{"g", rank}] = "10.0.0.1:1"
+		}
+		is.Equal(d.pollInterval("g"), test.want)
+	}
+}
