Weigh a switch of maps by the pause that streams are promised

Cause: what a switch gains was counted as if every caller needed quicker steps. Change: the leader learns the time of a pass from the steps that are counted anyway (balance.Pace), and a shorter pass counts by how far it lies beyond three fifths of the promised pause; a fifth of it below. As before where the pace is not known yet or no pause is promised.

--- a/control/expertmap/following.go
+++ b/control/expertmap/following.go
@@ -15,6 +15,9 @@
 	// Config returns the settings of a group; ok is false for one that is not
 	// followed.
 	Config func(group string) (config balance.FollowConfig, ok bool)
+	// Pause returns the longest pause that the streams of a group are held to; nil, or
+	// zero, for none.
+	Pause func(group string) time.Duration
 	// Interval is the time between two observations.
 	Interval time.Duration
 	// Logger must be set.
@@ -36,6 +39,9 @@
 	spell balance.Spell
 	// stalls is what switches have cost beside their copies.
 	stalls balance.Stalls
+	// pace is how long the passes take, step the furthest that was counted.
+	pace balance.Pace
+	step uint64
 }
 
 // Observe implements Proposer. Demand is followed during a switch as well, so that the next
@@ -46,6 +52,7 @@
 		return
 	}
 	g.totals.add(now, load)
+	g.step = max(g.step, load.GetToStep())
 	if now-g.observed < f.Interval/2 || !g.totals.enough(now, f.Interval) {
 		return
 	}
@@ -71,6 +78,8 @@
 		return group.Map{}, false
 	}
 	g.fresh = false
+	g.pace.Counted(now, g.step, g.follower.Relative(current))
+	g.follower.SetPace(g.pace.Unit(), f.pause(name))
 	g.follower.SetHold(g.spell.Left(now).Seconds())
 	g.follower.SetStall(g.stalls.Expected(now).Seconds())
 	decision := g.follower.Decide(current)
@@ -79,10 +88,22 @@
 	}
 	f.Logger.Info("switching an expert map", slog.String("group", name),
 		slog.Float64("skew", g.follower.Skew(current)), slog.Float64("expected", g.follower.Skew(decision.Map)), slog.Int("moves", decision.Moves),
-		slog.Float64("saving", decision.Saving), slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost))
+		slog.Float64("saving", decision.Saving), slog.Duration("pass", g.pass(current)), slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost))
 	return decision.Map, true
 }
 
+func (f *Following) pause(name string) time.Duration {
+	if f.Pause == nil {
+		return 0
+	}
+	return f.Pause(name)
+}
+
+// pass is how long a pass takes under a map; zero if that is not known.
+func (g *followed) pass(m group.Map) time.Duration {
+	return time.Duration(g.follower.Relative(m) * float64(g.pace.Unit()))
+}
+
 // group returns the follower of a group, made at the first look.
 func (f *Following) group(name string) *followed {
 	if g := f.groups[name]; g != nil {
--- a/control/formations.go
+++ b/control/formations.go
@@ -9,6 +9,7 @@
 	"github.com/lilackeel/lilackeel/group"
 	"github.com/lilackeel/lilackeel/group/balance"
 	"github.com/lilackeel/lilackeel/group/mapswitch"
+	"github.com/lilackeel/lilackeel/site"
 )
 
 // Times of groups that their ranks announce, whose steps take tens of milliseconds.
@@ -60,6 +61,8 @@
 	revision  uint64
 	shapes    map[string]group.Shape
 	engines   map[string]*fleetv1.EngineModel
+	// pauses are the pauses that the streams of each formation are held to.
+	pauses map[string]time.Duration
 }
 
 // all returns the shapes of all formations whose pool states its experts.
@@ -72,7 +75,8 @@
 	for _, pool := range configuration.GetSite().GetPools() {
 		engines[pool.GetName()] = pool.GetEngine()
 	}
-	f.shapes, f.engines = map[string]group.Shape{}, map[string]*fleetv1.EngineModel{}
+	pauses := site.Pauses(configuration.GetSite().GetRoutes())
+	f.shapes, f.engines, f.pauses = map[string]group.Shape{}, map[string]*fleetv1.EngineModel{}, map[string]time.Duration{}
 	for _, e := range configuration.GetEndpoints() {
 		engine := engines[e.GetPool()]
 		if e.GetGroupSize() == 0 || engine.GetSets() == 0 || !e.GetLive() {
@@ -82,6 +86,7 @@
 			Layers: int(engine.GetSets()), Experts: int(engine.GetExperts()), Ranks: int(e.GetGroupSize()), Slots: int(engine.GetPlaces()),
 		}
 		f.engines[e.GetGroup()] = engine
+		f.pauses[e.GetGroup()] = pauses[e.GetPool()]
 	}
 	f.revision = configuration.GetRevision()
 	return f.shapes
@@ -96,6 +101,12 @@
 	return follow(shape, f.engines[name], f.copyPrice), true
 }
 
+// pause is the longest pause that the streams of a formation are held to; zero for none.
+func (f *formations) pause(name string) time.Duration {
+	f.all()
+	return f.pauses[name]
+}
+
 // follow works out how a group of a shape is followed from what its engines state.
 func follow(shape group.Shape, engine *fleetv1.EngineModel, copyPrice time.Duration) balance.FollowConfig {
 	copySeconds := defaultCopy
@@ -141,7 +152,7 @@
 		State: m.state, Log: m.log, Transport: agentTransport{m.pool}, Shapes: found.all, Token: l.fence, LogTime: l.logTime, Logger: m.logger,
 		Rescue:       m.rescue(),
 		BranchSize:   branchSize,
-		Proposer:     &expertmap.Following{Config: found.config, Interval: followInterval, Logger: m.logger},
+		Proposer:     &expertmap.Following{Config: found.config, Pause: found.pause, Interval: followInterval, Logger: m.logger},
 		ObserveEvery: func(string) time.Duration { return followInterval },
 		Options: func(name string) mapswitch.Options {
 			return mapswitch.Options{
--- a/group/balance/follow.go
+++ b/group/balance/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/lilackeel/lilackeel/group"
 )
@@ -47,6 +48,8 @@
 	declined declined
 	// stall is what SetStall has set.
 	stall float64
+	// unit and pause are what SetPace has set.
+	unit, pause time.Duration
 	// changed is the number of layers whose demand jumped in the last observation.
 	changed int
 }
@@ -93,6 +96,26 @@
 // on top of FollowConfig.StallSeconds.
 func (f *Follower) SetStall(seconds float64) { f.stall = seconds }
 
+// SetPace sets the time of a step for each unit of its relative time, as Pace learns it,
+// and the longest pause between two steps that callers were promised, zero for none. Until
+// the former is known every shorter step is worth what it saves.
+func (f *Follower) SetPace(unit, pause time.Duration) { f.unit, f.pause = unit, pause }
+
+// Relative is the time of a step under a map, relative to the mean time that a rank spends
+// on experts.
+func (f *Follower) Relative(m group.Map) float64 { return f.config.Fixed + f.Skew(m) }
+
+// worth is what a step of a relative time is worth shortening to another one, as a part of
+// its time.
+func (f *Follower) worth(before, after float64) float64 {
+	if f.unit <= 0 {
+		return (before - after) / before
+	}
+	pass := func(relative float64) time.Duration { return time.Duration(relative * float64(f.unit)) }
+	saved := weighted(pass(before), f.pause) - weighted(pass(after), f.pause)
+	return saved / pass(before).Seconds()
+}
+
 func (f *Follower) stallSeconds() float64 { return f.config.StallSeconds + f.stall }
 
 // SetHold sets for how long demand is expected to stay as it is, in seconds.
@@ -200,7 +223,7 @@
 		}
 	}
 	if !best.Switch {
-		f.declined = declined{digest: current.Digest(), skew: before / mean, hold: f.config.HoldSeconds, stall: f.stall}
+		f.declined = declined{digest: current.Digest(), skew: before / mean, hold: f.config.HoldSeconds, stall: f.stall, unit: f.unit}
 	}
 	return best
 }
@@ -227,6 +250,8 @@
 	// copying is the time until all ranks have their copies, seconds that until the map
 	// is in force.
 	copying, seconds float64
+	// worth is what the shorter step is worth to callers, as a part of a step.
+	worth float64
 }
 
 // value is what an option saves until demand changes, in seconds of steps, if the best of
@@ -235,10 +260,10 @@
 	var follow float64
 	for _, next := range further {
 		seconds := o.seconds + next.copying - o.copying + f.config.OrderSeconds
-		gain := (next.Saving-o.Saving)*f.lasting(seconds) - (next.Cost - o.Cost) - f.stallSeconds()
+		gain := (next.worth-o.worth)*f.lasting(seconds) - (next.Cost - o.Cost) - f.stallSeconds()
 		follow = max(follow, gain)
 	}
-	return o.Saving*f.lasting(o.seconds) - o.Cost + follow
+	return o.worth*f.lasting(o.seconds) - o.Cost + follow
 }
 
 // lasting is for how long a map that is in force after some seconds is expected to be of
@@ -256,16 +281,21 @@
 	skew   float64
 	hold   float64
 	stall  float64
+	unit   time.Duration
 }
 
 // noticeable is the change of the skew, and of the time for which demand is expected to
 // stay, that makes a new look worth while.
 const noticeable = 0.03
 
+// slower is the change of the pace that makes a new look worth while; counted passes
+// scatter by a tenth.
+const slower = 1.15
+
 // settled reports whether it was decided on the present map and skew not to switch.
 func (f *Follower) settled(current group.Map, skew float64) bool {
 	d := f.declined
-	if f.stall < d.stall*(1-noticeable) {
+	if f.stall < d.stall*(1-noticeable) || f.unit > time.Duration(float64(d.unit)*slower) {
 		return false
 	}
 	return d.digest == current.Digest() && skew <= d.skew*(1+noticeable) && f.config.HoldSeconds <= d.hold*2
@@ -283,7 +313,8 @@
 	o := option{copying: float64(most) * f.config.CopySeconds}
 	o.seconds = o.copying + f.config.OrderSeconds
 	o.Decision = Decision{Map: next, Moves: moves, Saving: (before - after) / whole, Hold: f.config.HoldSeconds}
-	o.Gain = o.Saving * f.lasting(o.seconds)
+	o.worth = f.worth(whole/mean, (after+f.config.Fixed*mean)/mean)
+	o.Gain = o.worth * f.lasting(o.seconds)
 	o.Cost = o.copying*f.config.CopySlow + f.stallSeconds() + float64(moves)*f.config.MoveSeconds
 	o.Switch = moves > 0 && o.Gain > o.Cost
 	return o
--- a/measure/following/cmd/main.go
+++ b/measure/following/cmd/main.go
@@ -23,6 +23,16 @@
 			fmt.Printf("%-36s %-26s %6.3f %6.3f %6.3f %8.1f %9.2f\n", site.Name, policy.Name, r.Step, r.Skew, r.Late, r.Copies, r.Switches)
 		}
 	}
+	fmt.Printf("\n%-36s %6s %-26s %6s %6s %8s %9s\n", "site", "filled", "policy", "skew", "beyond", "copies/s", "switches/s")
+	for _, site := range following.Sites() {
+		for _, filled := range []float64{0.4, 0.55, 0.7, 0.8, 0.9} {
+			loaded := site.Loaded(filled)
+			for _, policy := range []following.Policy{loaded.InForce(), loaded.ByPace()} {
+				r := mean(policy, loaded)
+				fmt.Printf("%-36s %6.2f %-26s %6.3f %6.3f %8.1f %9.2f\n", site.Name, filled, policy.Name, r.Skew, r.Beyond, r.Copies, r.Switches)
+			}
+		}
+	}
 }
 
 // mean is the mean result over the seeds.
@@ -33,6 +43,7 @@
 		sum.Step += r.Step / seeds
 		sum.Skew += r.Skew / seeds
 		sum.Late += r.Late / seeds
+		sum.Beyond += r.Beyond / seeds
 		sum.Copies += r.Copies / seeds
 		sum.Switches += r.Switches / seeds
 	}
--- a/measure/following/following_test.go
+++ b/measure/following/following_test.go
@@ -44,3 +44,20 @@
 	is.True(after.Skew < before.Skew-0.5)
 	is.True(after.Late < before.Late/2)
 }
+
+// TestACalmGroupCopiesWhatCallersNeed plays the demand above at two loads, in which a pass of
+// even ranks takes two fifths of the promised pause and four fifths. Where it is calm no pass
+// exceeds the pause either way, and half of the copies do; where it is not, as many passes
+// are within it as without looking at the pace.
+func TestACalmGroupCopiesWhatCallersNeed(t *testing.T) {
+	for _, site := range Sites() {
+		is := is.New(t)
+		calm, busy := site.Loaded(0.4), site.Loaded(0.8)
+		before, after := Run(calm.InForce(), calm, 1, 20*time.Second), Run(calm.ByPace(), calm, 1, 20*time.Second)
+		t.Logf("%s: copies a second %.1f and %.1f by the pace, beyond %.3f and %.3f", site.Name, before.Copies, after.Copies, before.Beyond, after.Beyond)
+		is.True(after.Copies < 0.6*before.Copies)
+		is.True(after.Beyond <= before.Beyond+0.005)
+		before, after = Run(busy.InForce(), busy, 1, 20*time.Second), Run(busy.ByPace(), busy, 1, 20*time.Second)
+		is.True(after.Beyond <= before.Beyond+0.02)
+	}
+}
--- a/measure/following/run.go
+++ b/measure/following/run.go
@@ -20,6 +20,10 @@
 	Orders time.Duration
 	// Config is how the group is followed.
 	Config balance.FollowConfig
+	// Pause is the longest pause that streams are promised, and Filled the part of it that
+	// a pass of even ranks takes at the present load; zero where passes are not looked at.
+	Pause  time.Duration
+	Filled float64
 }
 
 // orderSeconds is the part of a switch in which nothing is copied, and observe and lag the
@@ -66,6 +70,21 @@
 	return Policy{Name: "in force", Config: &s.Config, Interval: observe, Delay: lag, Blind: true}
 }
 
+// Loaded is the site at a load: streams are promised a pause, of which a pass of even ranks
+// takes a part.
+func (s Site) Loaded(filled float64) Site {
+	s.Pause, s.Filled = 120*time.Millisecond, filled
+	return s
+}
+
+// ByPace is what the control leader does that weighs a shorter pass by the pause that is
+// promised.
+func (s Site) ByPace() Policy {
+	p := s.InForce()
+	p.Name, p.Paced = "by the pace", true
+	return p
+}
+
 // Policy says what a control leader does.
 type Policy struct {
 	Name string
@@ -78,6 +97,8 @@
 	Blind bool
 	// Knowing sees the demand as it is, at once.
 	Knowing bool
+	// Paced weighs a shorter pass by the pause that is promised.
+	Paced bool
 }
 
 // Result is what came of a policy.
@@ -87,6 +108,8 @@
 	// Skew is the mean skew, Late the part of the time in which it is so high that
 	// full ranks make their streams late.
 	Skew, Late float64
+	// Beyond is the part of the time in which passes take longer than the promised pause.
+	Beyond float64
 	// Copies are the experts copied per second, Switches the switches.
 	Copies, Switches float64
 }
@@ -117,6 +140,12 @@
 	orders  time.Duration
 	copies  int
 	counted int
+	// unit is the time of a pass for each unit of its relative time, passed the passes so
+	// far, pace what the leader knows of both.
+	unit   time.Duration
+	passed float64
+	pace   balance.Pace
+	pause  time.Duration
 }
 
 // Run plays a policy for a time.
@@ -126,6 +155,7 @@
 		policy: policy, shape: shape, demand: newDemand(shape, site.Popularity, rand.New(rand.NewPCG(seed, 1))), current: group.RoundRobin(shape),
 		seen: make([]float64, shape.Layers*shape.Experts), noise: rand.New(rand.NewPCG(seed, 2)), orders: site.Orders,
 	}
+	w.unit, w.pause = time.Duration(site.Filled*float64(site.Pause)/(fixed+1)), site.Pause
 	if policy.Config != nil {
 		w.follower = balance.NewFollower(*policy.Config)
 	}
@@ -146,6 +176,11 @@
 			step *= 1 + slow
 		}
 		r.Step += step
+		pass := time.Duration(step * (fixed + 1) * float64(w.unit))
+		if pass > site.Pause {
+			r.Beyond++
+		}
+		w.passed += float64(tick) / float64(max(pass, tick))
 		if skew > lateSkew {
 			r.Late++
 		}
@@ -154,6 +189,7 @@
 	r.Step /= float64(steps)
 	r.Skew /= float64(steps)
 	r.Late /= float64(steps)
+	r.Beyond /= float64(steps)
 	r.Copies = float64(w.copies) / length.Seconds()
 	r.Switches = float64(w.counted) / length.Seconds()
 	return r
@@ -185,6 +221,10 @@
 		w.spell.Jumped(now)
 	}
 	w.follower.SetHold(w.spell.Left(now).Seconds())
+	if w.policy.Paced {
+		w.pace.Counted(now, uint64(w.passed), w.follower.Relative(w.current))
+		w.follower.SetPace(w.pace.Unit(), w.pause)
+	}
 	decision := w.follower.Decide(w.current)
 	if !decision.Switch {
 		return
--- a/routed/throttle.go
+++ b/routed/throttle.go
@@ -142,7 +142,7 @@
 func (s *Server) place(now time.Duration, table *site.Table, entries int) *placement {
 	loads := s.poolLoads(now)
 	s.throttle.retain(loads)
-	pauses, young := longestPauses(table), s.young(now)
+	pauses, young := site.Pauses(table.Routes()), s.young(now)
 	next := &placement{pools: map[string][]room{}}
 	for _, pool := range table.Pools() {
 		next.pools[pool.GetName()] = nil
@@ -241,21 +241,3 @@
 	}
 	return loads
 }
-
-// longestPauses returns the pause that the streams of each pool are held to: the
-// shortest that one of its routes promises.
-func longestPauses(table *site.Table) map[string]time.Duration {
-	pauses := map[string]time.Duration{}
-	for _, route := range table.Routes() {
-		gap := time.Duration(route.GetGapMs()) * time.Millisecond
-		if gap <= 0 {
-			continue
-		}
-		for _, split := range route.GetSplits() {
-			if held := pauses[split.GetPool()]; split.GetWeight() > 0 && (held == 0 || gap < held) {
-				pauses[split.GetPool()] = gap
-			}
-		}
-	}
-	return pauses
-}
