Give late requests the places that requests in time will not need

Cause: a late request took any place that was free at the moment. While a pool is full in the mean the next request in time then waits behind it, becomes late in turn, and waits as a late one: after a restart of all machines of trasa half of those in time were late for eight seconds. And where nobody had waited lately late requests were refused before free places, since the rate at which late ones found a place was nil. Change: a late request begins only where a place is left beyond those that requests in time hold or will need while it holds its own (their rate times the mean hold, entry/late.go); as many wait as will find such a place within their patience.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -60,10 +60,10 @@
 func (a *Admissions) AdmitLate(ctx context.Context, pool string, r workspace.Request, patience time.Duration) (func(), error) {
 	refused := fault.New(fault.Overloaded, "not run: no place was left for a request that is late already",
 		"ask again after the given time").After(a.policy.MaxRetryAfter)
-	if !a.late.begin(pool, time.Since(processStart), patience) {
+	gate := a.gate(pool)
+	if !a.late.begin(pool, time.Since(processStart), patience, gate.Load()) {
 		return nil, refused
 	}
-	gate := a.gate(pool)
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	for {
@@ -71,8 +71,8 @@
 			a.late.end(pool, time.Since(processStart), true)
 			return release, nil
 		}
-		if load := gate.Load(); load.Queued == 0 && load.InFlight < load.Slots {
-			release, err := a.AdmitTo(ctx, pool, r)
+		if a.late.enter(pool, time.Since(processStart), gate.Load()) {
+			release, err := a.enter(ctx, pool, r)
 			a.late.end(pool, time.Since(processStart), err == nil)
 			return release, err
 		}
@@ -98,8 +98,27 @@
 	return sync.OnceFunc(func() { a.late.giveBack(pool, time.Since(processStart)) }), true
 }
 
+// enter begins a late request that may have a place among the others.
+func (a *Admissions) enter(ctx context.Context, pool string, r workspace.Request) (func(), error) {
+	leave := sync.OnceFunc(func() { a.late.leave(pool, time.Since(processStart)) })
+	release, err := a.acquire(ctx, pool, r)
+	if err != nil {
+		leave()
+		return nil, err
+	}
+	return func() {
+		release()
+		leave()
+	}, nil
+}
+
 // AdmitTo implements routed.Admitter.
 func (a *Admissions) AdmitTo(ctx context.Context, pool string, r workspace.Request) (func(), error) {
+	a.late.arrived(pool, time.Since(processStart))
+	return a.acquire(ctx, pool, r)
+}
+
+func (a *Admissions) acquire(ctx context.Context, pool string, r workspace.Request) (func(), error) {
 	release, err := a.gate(pool).Acquire(ctx, r)
 	if err != nil {
 		return nil, err
--- a/entry/late.go
+++ b/entry/late.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lilackeel/lilackeel/routed"
+	"github.com/lilackeel/lilackeel/workspace"
 )
 
 const (
@@ -33,6 +34,11 @@
 	// opening is the number of places that the pool will have once it runs again; zero
 	// while it runs.
 	opening int
+	// running is how many late requests hold a place among the others.
+	running int
+	// inTime counts the requests that came in time, fading with lateMemory, since since.
+	inTime float64
+	since  time.Duration
 	// free and taken count the places where answers come late: in lock-step groups that
 	// are behind their pace.
 	free, taken int
@@ -49,19 +55,73 @@
 		l.pools[pool] = q
 	}
 	if now > q.at {
-		q.placed *= math.Exp(-float64(now-q.at) / float64(lateMemory))
+		fading := math.Exp(-float64(now-q.at) / float64(lateMemory))
+		q.placed *= fading
+		q.inTime *= fading
 		q.at = now
 	}
 	return q
 }
 
+// arrived notes a request that came in time.
+func (l *lateQueues) arrived(pool string, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.queue(pool, now)
+	if q.inTime == 0 {
+		q.since = now
+	}
+	q.inTime++
+}
+
+// needed is how many of the places requests in time hold in the mean: those that come in
+// the time that one of them holds its place.
+func (q *lateQueue) needed(now time.Duration, load workspace.Load) float64 {
+	seen := 1 - math.Exp(-float64(now-q.since)/float64(lateMemory))
+	rate := q.inTime / lateMemory.Seconds() / max(seen, leastSeen)
+	return rate * load.Hold.Seconds()
+}
+
+// leastSeen keeps a rate finite that has just begun to be measured.
+const leastSeen = 0.05
+
+// spare is how many late requests may begin now: the places that requests in time neither
+// hold nor will need while a late one holds its own.
+func (q *lateQueue) spare(now time.Duration, load workspace.Load) float64 {
+	used := max(float64(load.InFlight-q.running), math.Floor(q.needed(now, load)))
+	return float64(load.Slots-q.running) - used
+}
+
+// enter takes a place among the others for a late request, if one is to spare.
+//
+// Nobody in time waits behind a late request: a place that is free at the moment is needed by
+// the next one in time, and whoever waits for it becomes late in turn. On a day on which all
+// machines restarted half of those in time were late for eight seconds after it.
+func (l *lateQueues) enter(pool string, now time.Duration, load workspace.Load) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	q := l.queue(pool, now)
+	if load.Queued > 0 || q.spare(now, load) < 1 {
+		return false
+	}
+	q.running++
+	return true
+}
+
+// leave gives the place of enter back.
+func (l *lateQueues) leave(pool string, now time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.queue(pool, now).running--
+}
+
 // begin adds a request that would wait up to patience, unless so many wait already
 // that it would find no place by then.
-func (l *lateQueues) begin(pool string, now, patience time.Duration) bool {
+func (l *lateQueues) begin(pool string, now, patience time.Duration, load workspace.Load) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.queue(pool, now)
-	expected := q.placed / lateMemory.Seconds() * patience.Seconds()
+	expected := max(q.placed/lateMemory.Seconds()*patience.Seconds(), q.places(now, patience, load))
 	if q.waiting >= max(lateAlways, q.opening) && float64(q.waiting) >= expected {
 		return false
 	}
@@ -69,6 +129,12 @@
 	return true
 }
 
+// places is how many late requests can begin within patience, at the present load.
+func (q *lateQueue) places(now, patience time.Duration, load workspace.Load) float64 {
+	given := max(float64(load.Slots)-q.needed(now, load), 0) / max(load.Hold, time.Millisecond).Seconds()
+	return max(q.spare(now, load), 0) + given*patience.Seconds()
+}
+
 // set takes in what there is for late requests in a pool, and returns how many places
 // where answers come late are taken.
 //
--- a/workspace/admission.go
+++ b/workspace/admission.go
@@ -207,11 +207,17 @@
 	// Slots is the capacity; InFlight and Queued count requests; Active counts
 	// workspaces with state.
 	Slots, InFlight, Queued, Active int
+	// Hold is how long requests hold their slots, in the mean.
+	Hold time.Duration
 }
 
 // Load returns the present load.
 func (a *Admission) Load() Load {
-	return Load{Slots: a.slots, InFlight: a.inFlight, Queued: a.queued, Active: len(a.active)}
+	mean := a.config.InitialHold
+	if a.measured.samples > 0 {
+		mean = seconds(a.measured.mean)
+	}
+	return Load{Slots: a.slots, InFlight: a.inFlight, Queued: a.queued, Active: len(a.active), Hold: mean}
 }
 
 // takeGrants starts what can start and returns all grants not yet returned.
