Tell the mean hold of a pool's places apart from its load

Change: Admission.Hold and Gate.Hold; the entry joins both in a record of its own. No decision changes; the test stands as it was.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -61,7 +61,7 @@
 	refused := fault.New(fault.Overloaded, "not run: no place was left for a request that is late already",
 		"ask again after the given time").After(a.policy.MaxRetryAfter)
 	gate := a.gate(pool)
-	if !a.late.begin(pool, time.Since(processStart), patience, gate.Load()) {
+	if !a.late.begin(pool, time.Since(processStart), patience, occupancyOf(gate)) {
 		return nil, refused
 	}
 	ctx, cancel := context.WithTimeout(ctx, patience)
@@ -71,7 +71,7 @@
 			a.late.end(pool, time.Since(processStart), true)
 			return release, nil
 		}
-		if a.late.enter(pool, time.Since(processStart), gate.Load()) {
+		if a.late.enter(pool, time.Since(processStart), occupancyOf(gate)) {
 			release, err := a.enter(ctx, pool, r)
 			a.late.end(pool, time.Since(processStart), err == nil)
 			return release, err
--- a/entry/first_places_test.go
+++ b/entry/first_places_test.go
@@ -49,7 +49,7 @@
 	c.apply(context.Background(), (&feed.View{}).Apply(delta), delta)
 	is.True(server.Published())
 	waiting := 0
-	for waiting < 1000 && admissions.late.begin("pool", time.Second, time.Second, admissions.gate("pool").Load()) {
+	for waiting < 1000 && admissions.late.begin("pool", time.Second, time.Second, occupancyOf(admissions.gate("pool"))) {
 		waiting++
 	}
 	is.Equal(waiting, 640)
--- a/entry/late.go
+++ b/entry/late.go
@@ -18,6 +18,15 @@
 	lateAlways = 3
 )
 
+// occupancy is how the places of a pool are taken, and for how long in the mean.
+type occupancy struct {
+	workspace.Load
+	hold time.Duration
+}
+
+// occupancyOf returns how the places of a gate are taken.
+func occupancyOf(gate *workspace.Gate) occupancy { return occupancy{gate.Load(), gate.Hold()} }
+
 // lateQueues keep, for each pool, the late requests that wait for a place, the rate at
 // which they find one, and the places that are theirs alone. The lock is a leaf. The zero
 // value is ready.
@@ -76,10 +85,10 @@
 
 // needed is how many of the places requests in time hold in the mean: those that come in
 // the time that one of them holds its place.
-func (q *lateQueue) needed(now time.Duration, load workspace.Load) float64 {
+func (q *lateQueue) needed(now time.Duration, load occupancy) float64 {
 	seen := 1 - math.Exp(-float64(now-q.since)/float64(lateMemory))
 	rate := q.inTime / lateMemory.Seconds() / max(seen, leastSeen)
-	return rate * load.Hold.Seconds()
+	return rate * load.hold.Seconds()
 }
 
 // leastSeen keeps a rate finite that has just begun to be measured.
@@ -87,7 +96,7 @@
 
 // spare is how many late requests may begin now: the places that requests in time neither
 // hold nor will need while a late one holds its own.
-func (q *lateQueue) spare(now time.Duration, load workspace.Load) float64 {
+func (q *lateQueue) spare(now time.Duration, load occupancy) float64 {
 	used := max(float64(load.InFlight-q.running), math.Floor(q.needed(now, load)))
 	return float64(load.Slots-q.running) - used
 }
@@ -97,7 +106,7 @@
 // Nobody in time waits behind a late request: a place that is free at the moment is needed by
 // the next one in time, and whoever waits for it becomes late in turn. On a day on which all
 // machines restarted half of those in time were late for eight seconds after it.
-func (l *lateQueues) enter(pool string, now time.Duration, load workspace.Load) bool {
+func (l *lateQueues) enter(pool string, now time.Duration, load occupancy) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.queue(pool, now)
@@ -117,7 +126,7 @@
 
 // begin adds a request that would wait up to patience, unless so many wait already
 // that it would find no place by then.
-func (l *lateQueues) begin(pool string, now, patience time.Duration, load workspace.Load) bool {
+func (l *lateQueues) begin(pool string, now, patience time.Duration, load occupancy) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.queue(pool, now)
@@ -130,8 +139,8 @@
 }
 
 // places is how many late requests can begin within patience, at the present load.
-func (q *lateQueue) places(now, patience time.Duration, load workspace.Load) float64 {
-	given := max(float64(load.Slots)-q.needed(now, load), 0) / max(load.Hold, time.Millisecond).Seconds()
+func (q *lateQueue) places(now, patience time.Duration, load occupancy) float64 {
+	given := max(float64(load.Slots)-q.needed(now, load), 0) / max(load.hold, time.Millisecond).Seconds()
 	return max(q.spare(now, load), 0) + given*patience.Seconds()
 }
 
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -12,7 +12,7 @@
 )
 
 // full is a pool all of whose places are held by requests in time.
-var full = workspace.Load{Slots: 0, Hold: time.Second}
+var full = occupancy{hold: time.Second}
 
 func TestAsManyLateRequestsWaitAsWillFindAPlace(t *testing.T) {
 	is := is.New(t)
@@ -97,7 +97,7 @@
 		if now == 5*time.Second {
 			crowd = 60
 		}
-		load := workspace.Load{Slots: slots, InFlight: len(inTime) + len(late), Queued: len(waiting), Hold: hold}
+		load := occupancy{workspace.Load{Slots: slots, InFlight: len(inTime) + len(late), Queued: len(waiting)}, hold}
 		for crowd > 0 && l.enter("p", now, load) {
 			crowd, load.InFlight, served = crowd-1, load.InFlight+1, now
 			late = append(late, now+hold)
@@ -113,7 +113,7 @@
 func TestLateRequestsWaitWherePlacesComeFree(t *testing.T) {
 	is := is.New(t)
 	var l lateQueues
-	load := workspace.Load{Slots: 25, InFlight: 5, Hold: time.Second}
+	load := occupancy{workspace.Load{Slots: 25, InFlight: 5}, time.Second}
 	waiting := 0
 	for waiting < 1000 && l.begin("p", time.Minute, time.Second, load) {
 		waiting++
--- a/workspace/admission.go
+++ b/workspace/admission.go
@@ -207,17 +207,20 @@
 	// Slots is the capacity; InFlight and Queued count requests; Active counts
 	// workspaces with state.
 	Slots, InFlight, Queued, Active int
-	// Hold is how long requests hold their slots, in the mean.
-	Hold time.Duration
 }
 
 // Load returns the present load.
 func (a *Admission) Load() Load {
-	mean := a.config.InitialHold
-	if a.measured.samples > 0 {
-		mean = seconds(a.measured.mean)
+	return Load{Slots: a.slots, InFlight: a.inFlight, Queued: a.queued, Active: len(a.active)}
+}
+
+// Hold returns how long requests hold their slots in the mean: Config.InitialHold before
+// any has been measured.
+func (a *Admission) Hold() time.Duration {
+	if a.measured.samples == 0 {
+		return a.config.InitialHold
 	}
-	return Load{Slots: a.slots, InFlight: a.inFlight, Queued: a.queued, Active: len(a.active), Hold: mean}
+	return seconds(a.measured.mean)
 }
 
 // takeGrants starts what can start and returns all grants not yet returned.
--- a/workspace/gate.go
+++ b/workspace/gate.go
@@ -80,6 +80,13 @@
 	return g.admission.Load()
 }
 
+// Hold returns how long requests hold their slots in the mean.
+func (g *Gate) Hold() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.Hold()
+}
+
 // Acquire waits for a slot. On success the caller must call release exactly when
 // the request has ended; further calls do nothing. An error is a *fault.Error
 // and means that the request has not run. An empty ID is filled in; a zero
