Move streams that cannot end in a group that crawls, and pay before moving

Cause: one slow rank sets the pace of its group. Besides, an attempt was ended to move it before its retry was paid for: without budget the stream was cut. Change: a stream whose rest cannot come before its deadline at the pace of its group, and can from a group that keeps the pace, goes on there; two long passes in a row tell a crawl from a held step (lockstep.Tracker.Crawl). The retry is withdrawn before the attempt is ended (call.Direct.Moved).

--- a/call/direct.go
+++ b/call/direct.go
@@ -104,6 +104,17 @@
 	return Step{Again: true, Delay: delay}
 }
 
+// Moved reports the end of an attempt that was ended to go on at another endpoint. Its
+// retry has been taken out of the budget already.
+func (d *Direct) Moved(now time.Duration, f *fault.Error) Step {
+	d.sent++
+	d.mayHaveRun = true
+	if now >= d.options.Deadline || !d.options.Repeatable || d.sent >= d.options.MaxAttempts {
+		return Step{Verdict: d.GiveUp(now, f)}
+	}
+	return Step{Again: true}
+}
+
 // ReplaceAnswer reports whether an endpoint's whole answer with this status is to
 // be dropped in favour of another attempt, which it then counts and has withdrawn
 // from the budget. Otherwise the answer is to be delivered.
--- /dev/null
+++ b/call/direct_moved_test.go
@@ -0,0 +1,27 @@
+package call
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/fault"
+)
+
+// TestAMovedAttemptIsPaidForOnce ends an attempt whose retry has been taken out of a budget
+// that holds no further one.
+func TestAMovedAttemptIsPaidForOnce(t *testing.T) {
+	is := is.New(t)
+	slow := fault.New(fault.Unknown, "the endpoint's group crawls", "ask again")
+	moved := func(now time.Duration, repeatable bool, attempts int) Step {
+		d := NewDirect(DirectOptions{Deadline: time.Second, Repeatable: repeatable, MaxAttempts: attempts, Budget: NewBudget(BudgetConfig{})})
+		return d.Moved(now, slow)
+	}
+	is.True(moved(0, true, 2).Again)
+	is.True(!moved(2*time.Second, true, 2).Again) // too late
+	is.True(!moved(0, true, 1).Again)             // no further endpoint may have it
+	step := moved(0, false, 2)
+	is.True(!step.Again)
+	is.Equal(step.Verdict.Outcome, Unknown) // it may have run: never a refusal
+}
--- a/endpoint/lockstep/lockstep.go
+++ b/endpoint/lockstep/lockstep.go
@@ -81,6 +81,8 @@
 	pause  time.Duration
 	paused time.Duration
 	behind bool
+	// latest and before are the pauses of the two latest passes, seen at passed.
+	latest, before, passed time.Duration
 }
 
 // New returns a tracker that knows of no group.
@@ -221,6 +223,7 @@
 	if pause <= 0 || longest <= 0 {
 		return
 	}
+	g.pass(now, pause)
 	g.take(now, pause)
 	switch {
 	case g.pause > longest:
@@ -230,6 +233,16 @@
 	}
 }
 
+// pass notes the pause of a pass. The streams of a group get their parts together: of those
+// that come within one pass the shortest counts, which no link has held up.
+func (g *group) pass(now, pause time.Duration) {
+	if now-g.passed > pause/2 {
+		g.before, g.latest, g.passed = g.latest, pause, now
+		return
+	}
+	g.latest = min(g.latest, pause)
+}
+
 // take adds a pause to the mean. All streams of a group pause alike, so the time since
 // the last pause, and not their number, is what the newest one counts for.
 func (g *group) take(now, pause time.Duration) {
@@ -273,3 +286,16 @@
 	}
 	return now - g.heard
 }
+
+// Crawl is how long each of the two latest passes of a group took at least, as this entry's
+// calls show it; zero if there are none. A single long pass, as at a switch of maps, does
+// not show in it.
+func (t *Tracker) Crawl(name string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.groups[name]
+	if g == nil {
+		return 0
+	}
+	return min(g.latest, g.before)
+}
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -179,6 +179,7 @@
 			return a.broken(errCut(io.ErrUnexpectedEOF))
 		case errors.Is(err, io.EOF):
 			a.done(false)
+			a.noteLength()
 			if !a.opened {
 				a.open(r)
 			}
@@ -196,6 +197,7 @@
 func (a *attempt) part() {
 	now := a.server.clock()
 	a.parts++
+	a.come.Store(int32(a.parts))
 	pause := now - a.latest
 	switch {
 	case a.parts == 1:
@@ -216,6 +218,13 @@
 	a.latest = now
 }
 
+// noteLength takes in how many parts a whole stream had.
+func (a *attempt) noteLength() {
+	if len(a.tried) == 1 {
+		a.server.lengths.observe(a.request.pool, a.parts)
+	}
+}
+
 // hear tells that the endpoint's group runs, and how it keeps the pace.
 func (a *attempt) hear(now, pause time.Duration) {
 	if a.parts == 1 {
@@ -231,13 +240,13 @@
 	left := a.caller.Err() != nil
 	a.done(!left && !a.moved.Load())
 	if !a.opened {
-		return failed(call.Ran, f)
+		return a.cut(f)
 	}
 	if left || !site.Repeatable(a.request.route) {
 		return attemptResult{done: true, abort: true, outcome: call.Unknown.String(), fault: f}
 	}
 	a.server.metrics.resumes.Inc()
-	return failed(call.Ran, f)
+	return a.cut(f)
 }
 
 // send writes events, after the head of the first endpoint's answer.
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -82,7 +82,11 @@
 			return x.report(result)
 		}
 		step := result.step
-		if !step.Again {
+		switch {
+		case step.Again:
+		case result.moved:
+			step = x.machine.Moved(s.clock(), result.fault)
+		default:
 			step = x.machine.Ended(s.clock(), result.progress, result.fault)
 		}
 		if x.caller.Err() != nil {
@@ -131,6 +135,9 @@
 	progress call.Progress
 	fault    *fault.Error
 	step     call.Step
+	// moved is set when the attempt was ended to go on at another endpoint, and its retry
+	// has been taken out of the budget.
+	moved bool
 }
 
 func failed(p call.Progress, f *fault.Error) attemptResult {
@@ -310,9 +317,11 @@
 	// begun is set once the first part of the answer has come.
 	begun   atomic.Bool
 	started time.Duration
-	// began is when the first part of the answer came, parts how many came.
+	// began is when the first part of the answer came, parts how many came; come is the
+	// same for others that look at the attempt.
 	began time.Duration
 	parts int
+	come  atomic.Int32
 }
 
 // unanswered ends an attempt that has not brought the head of an answer.
@@ -326,10 +335,17 @@
 	if failing {
 		s.Reach.Failed(now, a.target.ID)
 	}
-	if f.Kind == fault.Unavailable {
+	if f.Kind == fault.Unavailable && !a.moved.Load() {
 		return failed(call.Unsent, f)
 	}
-	return failed(call.Ran, f)
+	return a.cut(f)
+}
+
+// cut is how an attempt ends that may have run and has brought no whole answer.
+func (a *attempt) cut(f *fault.Error) attemptResult {
+	result := failed(call.Ran, f)
+	result.moved = a.moved.Load()
+	return result
 }
 
 // done notes how the endpoint did.
--- a/routed/firsts.go
+++ b/routed/firsts.go
@@ -41,6 +41,13 @@
 	f.means[pool] = mean + time.Duration(firstWeight*float64(took-mean))
 }
 
+// mean is how long a first part takes; zero if that is not known.
+func (f *firstParts) mean(pool string) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.means[pool]
+}
+
 const (
 	// silentFirsts is how many times the mean an endpoint may take for a first part, while
 	// nothing else comes from it, before it counts as silent, and leastSilence the least.
--- a/routed/move_test.go
+++ b/routed/move_test.go
@@ -1,14 +1,17 @@
 package routed
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
 	"github.com/lilackeel/lilackeel/site"
 )
@@ -122,3 +125,78 @@
 		is.True(time.Since(began) < 1500*time.Millisecond) // before callers leave
 	}
 }
+
+// TestAStreamLeavesAGroupThatCrawls has two groups of one engine. The first takes 300 ms for
+// each event of twenty, where 50 ms are promised and the caller waits for 4 s; the second
+// answers at once. The rest of the stream comes from the second.
+func TestAStreamLeavesAGroupThatCrawls(t *testing.T) {
+	is := is.New(t)
+	const events = 20
+	serve := func(pause time.Duration) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(signature, "s")
+			w.Header().Set("Content-Type", "text/event-stream")
+			last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			for id := last + 1; id <= events && r.Context().Err() == nil; id++ {
+				_, _ = fmt.Fprintf(w, "id: %d\ndata: %d.\n\n", id, id)
+				w.(http.Flusher).Flush()
+				time.Sleep(pause)
+			}
+		}
+	}
+	b := newBed(t, serve(300*time.Millisecond), serve(0))
+	site1 := bedSite()
+	for _, route := range site1.GetRoutes() {
+		route.GapMs, route.TimeoutMs = 50, 4000
+	}
+	b.server.Publish(site.NewTable(site1))
+	for i, group := range []string{"g1", "g2"} {
+		e, _ := b.table.Get("e" + string(rune('1'+i)))
+		b.server.Groups.Report(e.Addr, group, false)
+	}
+	b.server.lengths.observe("pool", events)
+	// Calls go to the first group, as if the second were full.
+	b.server.placement.Store(&placement{pools: map[string][]room{"pool": {
+		{group: "g1", state: lockstep.Paced, places: 8}, {group: "g2", state: lockstep.Behind, places: 8},
+	}}})
+	took := make(chan time.Duration, 1)
+	go func() {
+		began := time.Now()
+		_, body, err := b.ask(http.MethodPost, "/resumable/x", "", nil)
+		is.NoErr(err)
+		for id := 1; id <= events; id++ {
+			is.Equal(strings.Count(body, fmt.Sprintf("data: %d.", id)), 1) // each event once
+		}
+		took <- time.Since(began)
+	}()
+	time.Sleep(400 * time.Millisecond)
+	b.server.placement.Store(&placement{pools: map[string][]room{"pool": {
+		{group: "g1", state: lockstep.Behind, places: 8}, {group: "g2", state: lockstep.Paced, places: 8},
+	}}})
+	is.True(<-took < 3*time.Second) // cut after 4 s otherwise
+}
+
+// TestAStreamThatCannotBePaidForGoesOnWhereItIs has no retry left in the budget.
+func TestAStreamThatCannotBePaidForGoesOnWhereItIs(t *testing.T) {
+	is := is.New(t)
+	b := newBed(t, answerOK)
+	b.server.Budget = call.NewBudget(call.BudgetConfig{Burst: 1})
+	is.True(b.server.Budget.Withdraw(0))
+	request := &request{pool: "pool", route: bedSite().GetRoutes()[3], deadline: b.server.clock() + 5*time.Second}
+	request.route.GapMs = 50
+	b.server.placement.Store(&placement{pools: map[string][]room{"pool": {
+		{group: "g1", state: lockstep.Behind, places: 8}, {group: "g2", state: lockstep.Paced, places: 8},
+	}}})
+	b.server.lengths.observe("pool", 20)
+	b.server.Groups.Report("10.0.0.1:80", "g1", false)
+	for now := time.Duration(0); now < 2*time.Second; now += 500 * time.Millisecond {
+		b.server.Groups.Part(now, "g1", 500*time.Millisecond, 50*time.Millisecond)
+	}
+	ended := false
+	w := &watcher{attempt: &attempt{exchange: &exchange{server: b.server, request: request}, group: "g1"}, cancel: func() { ended = true }}
+	w.begun.Store(true)
+	is.True(w.crawls())
+	w.look()
+	is.True(!ended && !w.moved.Load())
+	w.ended.Store(true)
+}
--- a/routed/server.go
+++ b/routed/server.go
@@ -89,6 +89,8 @@
 	usual usualWait
 	// firsts is how long first parts take once a request has its place.
 	firsts firstParts
+	// lengths is how many parts streams have.
+	lengths streamLengths
 	// placement says which groups calls go to.
 	placement atomic.Pointer[placement]
 	clock     func() time.Duration
