--- a/entry/late.go
+++ b/entry/late.go
@@ -45,9 +45,8 @@
 	opening int
 	// running is how many late requests hold a place among the others.
 	running int
-	// inTime counts the requests that came in time, fading with lateMemory, since since.
+	// inTime counts the requests that came in time, fading with lateMemory.
 	inTime float64
-	since  time.Duration
 	// free and taken count the places where answers come late: in lock-step groups that
 	// are behind their pace.
 	free, taken int
@@ -76,28 +75,21 @@
 func (l *lateQueues) arrived(pool string, now time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	q := l.queue(pool, now)
-	if q.inTime == 0 {
-		q.since = now
-	}
-	q.inTime++
+	l.queue(pool, now).inTime++
 }
 
 // needed is how many of the places requests in time hold in the mean: those that come in
-// the time that one of them holds its place.
-func (q *lateQueue) needed(now time.Duration, load occupancy) float64 {
-	seen := 1 - math.Exp(-float64(now-q.since)/float64(lateMemory))
-	rate := q.inTime / lateMemory.Seconds() / max(seen, leastSeen)
-	return rate * load.hold.Seconds()
+// the time that one of them holds its place. It counts from nothing: in the first second
+// after a start nobody is in time who has waited for it, and the crowd that came at once
+// says nothing about the rate.
+func (q *lateQueue) needed(load occupancy) float64 {
+	return q.inTime / lateMemory.Seconds() * load.hold.Seconds()
 }
 
-// leastSeen keeps a rate finite that has just begun to be measured.
-const leastSeen = 0.05
-
 // spare is how many late requests may begin now: the places that requests in time neither
 // hold nor will need while a late one holds its own.
-func (q *lateQueue) spare(now time.Duration, load occupancy) float64 {
-	used := max(float64(load.InFlight-q.running), math.Floor(q.needed(now, load)))
+func (q *lateQueue) spare(load occupancy) float64 {
+	used := max(float64(load.InFlight-q.running), math.Floor(q.needed(load)))
 	return float64(load.Slots-q.running) - used
 }
 
@@ -110,7 +102,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.queue(pool, now)
-	if load.Queued > 0 || q.spare(now, load) < 1 {
+	if load.Queued > 0 || q.spare(load) < 1 {
 		return false
 	}
 	q.running++
@@ -130,7 +122,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	q := l.queue(pool, now)
-	expected := max(q.placed/lateMemory.Seconds()*patience.Seconds(), q.places(now, patience, load))
+	expected := max(q.placed/lateMemory.Seconds()*patience.Seconds(), q.places(patience, load))
 	if q.waiting >= max(lateAlways, q.opening) && float64(q.waiting) >= expected {
 		return false
 	}
@@ -139,9 +131,9 @@
 }
 
 // places is how many late requests can begin within patience, at the present load.
-func (q *lateQueue) places(now, patience time.Duration, load occupancy) float64 {
-	given := max(float64(load.Slots)-q.needed(now, load), 0) / max(load.hold, time.Millisecond).Seconds()
-	return max(q.spare(now, load), 0) + given*patience.Seconds()
+func (q *lateQueue) places(patience time.Duration, load occupancy) float64 {
+	given := max(float64(load.Slots)-q.needed(load), 0) / max(load.hold, time.Millisecond).Seconds()
+	return max(q.spare(load), 0) + given*patience.Seconds()
 }
 
 // set takes in what there is for late requests in a pool, and returns how many places
