Give attempts, filling groups and the weighing of maps files of their own

Change: moves only: routed/attempt.go, routed/filling.go, group/balance/weigh.go; the comment of entry.lateMemory names both rates. Measured: go test ./routed ./group/balance ./entry ./control/expertmap passes.

--- a/entry/late.go
+++ b/entry/late.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// lateMemory is the time over which the rate of late requests that found a
-	// place is measured.
+	// lateMemory is the time over which rates are measured: that of late requests that
+	// found a place and that of requests in time. It is somewhat longer than a stream takes.
 	lateMemory = 2 * time.Second
 	// lateAlways is the number of late requests that may wait in any case, so that
 	// the rate is found out.
--- a/group/balance/follow.go
+++ b/group/balance/follow.go
@@ -105,17 +105,6 @@
 // on experts.
 func (f *Follower) Relative(m group.Map) float64 { return f.config.Fixed + f.Skew(m) }
 
-// worth is what a step of a relative time is worth shortening to another one, as a part of
-// its time.
-func (f *Follower) worth(before, after float64) float64 {
-	if f.unit <= 0 {
-		return (before - after) / before
-	}
-	pass := func(relative float64) time.Duration { return time.Duration(relative * float64(f.unit)) }
-	saved := weighted(pass(before), f.pause) - weighted(pass(after), f.pause)
-	return saved / pass(before).Seconds()
-}
-
 func (f *Follower) stallSeconds() float64 { return f.config.StallSeconds + f.stall }
 
 // SetHold sets for how long demand is expected to stay as it is, in seconds.
@@ -244,36 +233,6 @@
 	return len(options)-1-best < futile || len(options) == 0
 }
 
-// option is a map that could be switched to, and what it takes.
-type option struct {
-	Decision
-	// copying is the time until all ranks have their copies, seconds that until the map
-	// is in force.
-	copying, seconds float64
-	// worth is what the shorter step is worth to callers, as a part of a step.
-	worth float64
-}
-
-// value is what an option saves until demand changes, in seconds of steps, if the best of
-// the further ones follows.
-func (f *Follower) value(o option, further []option) float64 {
-	var follow float64
-	for _, next := range further {
-		seconds := o.seconds + next.copying - o.copying + f.config.OrderSeconds
-		gain := (next.worth-o.worth)*f.lasting(seconds) - (next.Cost - o.Cost) - f.stallSeconds()
-		follow = max(follow, gain)
-	}
-	return o.worth*f.lasting(o.seconds) - o.Cost + follow
-}
-
-// lasting is for how long a map that is in force after some seconds is expected to be of
-// use. Demand may change at any time, and no other switch begins before this one ends: so
-// what comes late is worth less than what is left of the time.
-func (f *Follower) lasting(after float64) float64 {
-	hold := f.config.HoldSeconds
-	return hold * math.Exp(-after/hold)
-}
-
 // declined is what a decision not to switch was made on. It stands until the skew has
 // grown: looking for a better map takes tens of milliseconds in a large group.
 type declined struct {
@@ -301,25 +260,6 @@
 	return d.digest == current.Digest() && skew <= d.skew*(1+noticeable) && f.config.HoldSeconds <= d.hold*2
 }
 
-// weigh returns what a map saves and costs.
-func (f *Follower) weigh(current, next group.Map, before, mean float64) option {
-	after, _ := StepLoad(f.config.Shape, next, f.load, f.cost)
-	moves, most := 0, 0
-	for _, count := range group.Moves(current, next) {
-		moves += count
-		most = max(most, count)
-	}
-	whole := before + f.config.Fixed*mean
-	o := option{copying: float64(most) * f.config.CopySeconds}
-	o.seconds = o.copying + f.config.OrderSeconds
-	o.Decision = Decision{Map: next, Moves: moves, Saving: (before - after) / whole, Hold: f.config.HoldSeconds}
-	o.worth = f.worth(whole/mean, (after+f.config.Fixed*mean)/mean)
-	o.Gain = o.worth * f.lasting(o.seconds)
-	o.Cost = o.copying*f.config.CopySlow + f.stallSeconds() + float64(moves)*f.config.MoveSeconds
-	o.Switch = moves > 0 && o.Gain > o.Cost
-	return o
-}
-
 // Skew returns the load of the busiest ranks over the mean, under a map.
 func (f *Follower) Skew(m group.Map) float64 {
 	busiest, mean := StepLoad(f.config.Shape, m, f.load, f.cost)
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -16,8 +15,6 @@
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/direct"
 	"github.com/lilackeel/lilackeel/endpoint"
-	"github.com/lilackeel/lilackeel/endpoint/load"
-	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/eventstream"
 	"github.com/lilackeel/lilackeel/fault"
@@ -306,70 +303,6 @@
 	_ = x.control.SetWriteDeadline(time.Now().Add(x.server.config.WriteTimeout))
 }
 
-// attempt is one dispatch that is under way.
-type attempt struct {
-	*exchange
-	// group is that of the endpoint, see groupOf.
-	group string
-	load  load.Call
-	// moved is set when the attempt was ended to be tried at another endpoint.
-	moved atomic.Bool
-	// begun is set once the first part of the answer has come.
-	begun   atomic.Bool
-	started time.Duration
-	// began is when the first part of the answer came, parts how many came; come is the
-	// same for others that look at the attempt.
-	began time.Duration
-	parts int
-	come  atomic.Int32
-}
-
-// unanswered ends an attempt that has not brought the head of an answer.
-func (a *attempt) unanswered(f *fault.Error) attemptResult {
-	s := a.server
-	now := s.clock()
-	left := a.caller.Err() != nil
-	late := now >= a.request.deadline
-	failing := !left && !late && !a.moved.Load()
-	a.done(failing)
-	if failing {
-		s.Reach.Failed(now, a.target.ID)
-	}
-	if f.Kind == fault.Unavailable && !a.moved.Load() {
-		return failed(call.Unsent, f)
-	}
-	return a.cut(f)
-}
-
-// cut is how an attempt ends that may have run and has brought no whole answer.
-func (a *attempt) cut(f *fault.Error) attemptResult {
-	result := failed(call.Ran, f)
-	result.moved = a.moved.Load()
-	return result
-}
-
-// done notes how the endpoint did.
-func (a *attempt) done(fault bool) {
-	s, now := a.server, a.server.clock()
-	s.Loads.Done(now, &a.load, load.Result{Failed: fault, Tokens: a.parts})
-	sample := outlier.Sample{Failed: fault}
-	if !fault {
-		sample.Latency = a.pace(now)
-	}
-	s.Outliers.Observe(now, a.target.Pool, a.target.ID, sample)
-}
-
-// pace is the time of an attempt divided by its size, comparable among peers.
-func (a *attempt) pace(now time.Duration) time.Duration {
-	switch {
-	case a.request.route.GetKind() != fleetv1.CallKind_CALL_KIND_STREAM:
-		return now - a.started
-	case a.parts > 1:
-		return (now - a.began) / time.Duration(a.parts-1)
-	}
-	return 0
-}
-
 // lockedSource is a random source that is safe for concurrent use.
 type lockedSource struct{}
 
