Name slow groups by the field's terms; wrap long lines

Cause: a read as a newcomer: crawl is a metaphor, and two lines were too long. Change: names and comments only (LatestPasses, cannotEnd). Measured: go test ./routed ./call ./endpoint/lockstep ./group/balance ./control/expertmap passes.

--- a/call/direct_moved_test.go
+++ b/call/direct_moved_test.go
@@ -13,7 +13,7 @@
 // that holds no further one.
 func TestAMovedAttemptIsPaidForOnce(t *testing.T) {
 	is := is.New(t)
-	slow := fault.New(fault.Unknown, "the endpoint's group crawls", "ask again")
+	slow := fault.New(fault.Unknown, "the endpoint's group is slow", "ask again")
 	moved := func(now time.Duration, repeatable bool, attempts int) Step {
 		d := NewDirect(DirectOptions{Deadline: time.Second, Repeatable: repeatable, MaxAttempts: attempts, Budget: NewBudget(BudgetConfig{})})
 		return d.Moved(now, slow)
--- a/control/expertmap/following.go
+++ b/control/expertmap/following.go
@@ -82,8 +82,8 @@
 	g.follower.SetPace(g.pace.Unit(), f.pause(name))
 	g.follower.SetHold(g.spell.Left(now).Seconds())
 	// A held step harms the streams that are in time, and no others: while all are late by
-	// the map in force, nothing is lost by a switch that may be held. A group of 32 ranks kept
-	// a skew of 2.6 for three seconds for fear of one, in which half of its streams were late.
+	// the map in force, nothing is lost by a switch that may be held. Without this a group of
+	// 32 ranks kept a skew of 2.6 for three seconds after two long holds, half of its streams late.
 	harmed := 1 - balance.Late(g.pass(current), f.pause(name))
 	g.follower.SetStall(g.stalls.Expected(now).Seconds() * harmed)
 	decision := g.follower.Decide(current)
@@ -92,7 +92,8 @@
 	}
 	f.Logger.Info("switching an expert map", slog.String("group", name),
 		slog.Float64("skew", g.follower.Skew(current)), slog.Float64("expected", g.follower.Skew(decision.Map)), slog.Int("moves", decision.Moves),
-		slog.Float64("saving", decision.Saving), slog.Duration("pass", g.pass(current)), slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost))
+		slog.Float64("saving", decision.Saving), slog.Duration("pass", g.pass(current)),
+		slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost))
 	return decision.Map, true
 }
 
--- a/endpoint/lockstep/lockstep.go
+++ b/endpoint/lockstep/lockstep.go
@@ -287,10 +287,10 @@
 	return now - g.heard
 }
 
-// Crawl is how long each of the two latest passes of a group took at least, as this entry's
+// LatestPasses is how long each of the two latest passes of a group took at least, as this entry's
 // calls show it; zero if there are none. A single long pass, as at a switch of maps, does
 // not show in it.
-func (t *Tracker) Crawl(name string) time.Duration {
+func (t *Tracker) LatestPasses(name string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.groups[name]
--- a/endpoint/lockstep/crawl_test.go
+++ b/endpoint/lockstep/passes_test.go
@@ -7,9 +7,9 @@
 	"github.com/matryer/is"
 )
 
-// TestOneLongPassIsNoCrawl plays passes of 65 ms whose parts three streams get within a few
+// TestOneLongPassIsNotTakenForThePace plays passes of 65 ms whose parts three streams get within a few
 // milliseconds, one of them over a slow link; one pass is held for 600 ms, and later all are.
-func TestOneLongPassIsNoCrawl(t *testing.T) {
+func TestOneLongPassIsNotTakenForThePace(t *testing.T) {
 	is := is.New(t)
 	tracker := New()
 	tracker.Report("e1", "g", false)
@@ -20,17 +20,17 @@
 			tracker.Part(now+time.Duration(i)*time.Millisecond, "g", took+late, longest)
 		}
 	}
-	is.Equal(tracker.Crawl("g"), time.Duration(0))
+	is.Equal(tracker.LatestPasses("g"), time.Duration(0))
 	for range 10 {
 		pass(65 * time.Millisecond)
 	}
 	pass(600 * time.Millisecond)
-	is.True(tracker.Crawl("g") <= longest)
+	is.True(tracker.LatestPasses("g") <= longest)
 	pass(65 * time.Millisecond)
 	pass(65 * time.Millisecond)
-	is.True(tracker.Crawl("g") <= longest)
+	is.True(tracker.LatestPasses("g") <= longest)
 	pass(600 * time.Millisecond)
 	pass(600 * time.Millisecond)
-	is.Equal(tracker.Crawl("g"), 600*time.Millisecond)
-	is.Equal(tracker.Crawl("unknown"), time.Duration(0))
+	is.Equal(tracker.LatestPasses("g"), 600*time.Millisecond)
+	is.Equal(tracker.LatestPasses("unknown"), time.Duration(0))
 }
--- a/group/balance/pace.go
+++ b/group/balance/pace.go
@@ -62,14 +62,15 @@
 	leastWorth = 0.2
 )
 
-// weighted is the time of a pass as its callers feel it.
+// weighted is the time of a pass, in seconds, weighed by what its callers get of its being
+// shorter.
 func weighted(pass, pause time.Duration) float64 {
-	felt := pass.Seconds()
+	took := pass.Seconds()
 	if pause <= 0 {
-		return felt
+		return took
 	}
-	beyond := max(felt-comfort*pause.Seconds(), 0)
-	return leastWorth*felt + (1-leastWorth)*beyond
+	beyond := max(took-comfort*pause.Seconds(), 0)
+	return leastWorth*took + (1-leastWorth)*beyond
 }
 
 // Late is the part of the streams that passes make late which take so long in the mean: none
--- a/routed/filling.go
+++ b/routed/filling.go
@@ -32,10 +32,10 @@
 }
 
 // growth is by how many calls this entry may grow in a group until the next look: its share of
-// one new prompt for each engine in the longest pause that streams are promised. An engine reads prompts between the
-// tokens of its streams, and all engines of the group wait for it: a crowd that begins at
-// once, as after a restart, makes every stream late that runs then, while callers who are late
-// already lose nothing by beginning a few tenths of a second later.
+// one new prompt for each engine in the longest pause that streams are promised. An engine reads
+// prompts between the tokens of its streams, and all engines of the group wait for it: a crowd
+// that begins at once, as after a restart, makes every stream late that runs then, while callers
+// who are late already lose nothing by beginning a few tenths of a second later.
 func (p poolLoad) growth(pause time.Duration, entries int) int {
 	if pause <= 0 {
 		return math.MaxInt
--- a/routed/move.go
+++ b/routed/move.go
@@ -20,7 +20,7 @@
 )
 
 // watcher looks after an attempt at an engine, each moveCheck: it ends one that can go on
-// elsewhere once its group has stopped, or crawls, and another one runs, and leaves an
+// elsewhere once its group has stopped, or is too slow for it, and another one runs, and leaves an
 // endpoint out that sends nothing while its group runs. An attempt is ended only once its
 // retry is paid for: a stream that could not go on elsewhere would be cut.
 type watcher struct {
@@ -51,7 +51,7 @@
 		w.reported = true
 		w.server.Reach.Failed(w.server.clock(), w.target.ID)
 	}
-	if (silent || w.stalled() || w.crawls()) && w.mayMove() && w.server.Budget.Withdraw(w.server.clock()) {
+	if (silent || w.stalled() || w.cannotEnd()) && w.mayMove() && w.server.Budget.Withdraw(w.server.clock()) {
 		w.moved.Store(true)
 		w.cancel()
 		return
@@ -87,16 +87,16 @@
 	return site.Repeatable(a.request.route) && len(a.tried) < int(a.request.route.GetMaxAttempts())
 }
 
-// crawls reports whether the passes of the endpoint's group take so long that the rest of the
+// cannotEnd reports whether the passes of the endpoint's group take so long that the rest of the
 // answer cannot come before the caller's deadline, and can from another group that keeps the
 // pace, though the prompt is read again there. One slow rank sets the pace for all streams of
 // its group: with one that was twelve times as slow a stream of 23 parts took 15 s, and half
 // of the streams that ran there were cut at their deadline of 8 s. Streams that can still end
 // stay: to move whatever is late only doubles the load of the other groups.
-func (a *attempt) crawls() bool {
+func (a *attempt) cannotEnd() bool {
 	s, q := a.server, a.request
 	gap := time.Duration(q.route.GetGapMs()) * time.Millisecond
-	pass := s.Groups.Crawl(a.group)
+	pass := s.Groups.LatestPasses(a.group)
 	if gap <= 0 || pass <= gap {
 		return false
 	}
--- a/routed/move_test.go
+++ b/routed/move_test.go
@@ -126,10 +126,10 @@
 	}
 }
 
-// TestAStreamLeavesAGroupThatCrawls has two groups of one engine. The first takes 300 ms for
+// TestAStreamLeavesAGroupInWhichItCannotEnd has two groups of one engine. The first takes 300 ms for
 // each event of twenty, where 50 ms are promised and the caller waits for 4 s; the second
 // answers at once. The rest of the stream comes from the second.
-func TestAStreamLeavesAGroupThatCrawls(t *testing.T) {
+func TestAStreamLeavesAGroupInWhichItCannotEnd(t *testing.T) {
 	is := is.New(t)
 	const events = 20
 	serve := func(pause time.Duration) http.HandlerFunc {
@@ -195,7 +195,7 @@
 	ended := false
 	w := &watcher{attempt: &attempt{exchange: &exchange{server: b.server, request: request}, group: "g1"}, cancel: func() { ended = true }}
 	w.begun.Store(true)
-	is.True(w.crawls())
+	is.True(w.cannotEnd())
 	w.look()
 	is.True(!ended && !w.moved.Load())
 	w.ended.Store(true)
