Say which requests were on an endpoint when its process ended

What was lacking: the lines of a request carry its id, and a request that comes again has another one; that an endpoint ended, and under which requests, stood in no line. Neither could be told apart: a request that ends engines, and engines that end under a crowd.

Change, no decision is touched: requests have a fingerprint (workspace, method, target, body), which 'trying again' and 'ended a request' carry. When an answer breaks off, the entry (direct endpoints) or the agent looks whether anything still listens at the endpoint's address; if not, 'an endpoint ended under a request' names both, and a metric counts.

--- a/agent/client.go
+++ b/agent/client.go
@@ -72,11 +72,7 @@
 	if err != nil {
 		return false
 	}
-	address := target.Host
-	if target.Port() == "" {
-		address = net.JoinHostPort(target.Hostname(), target.Scheme)
-	}
-	connection, err := c.dialer.DialContext(ctx, "tcp", address)
+	connection, err := c.dialer.DialContext(ctx, "tcp", address(target))
 	if err != nil {
 		return false
 	}
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -25,6 +25,7 @@
 	keeper    *keeper
 	client    *endpointClient
 	health    *health
+	runs      *runs
 	logger    *slog.Logger
 	endpoints map[string]Endpoint
 	streams   streamIDs
@@ -40,6 +41,7 @@
 		keeper:    k,
 		client:    c,
 		health:    h,
+		runs:      newRuns(k),
 		logger:    logger,
 		endpoints: endpoints,
 		streams:   streamIDs{byRequest: make(map[string]string)},
@@ -71,7 +73,7 @@
 		case gate.Answered:
 			return repeat(verdict.Answer, out)
 		case gate.Unknown:
-			return out.broken("an earlier dispatch of this claim may have run")
+			return out.broken("an earlier dispatch of this claim may have run", "")
 		default:
 			p.logger.InfoContext(ctx, "refused a dispatch", slog.String("kind", string(verdict.Fault.Kind)), slog.String("reason", verdict.Fault.Message))
 			return out.refused(verdict.Fault, p.keeper.ticket())
@@ -82,7 +84,7 @@
 // repeat delivers the recorded answer of a claimed call.
 func repeat(recorded *controlv1.Answer, out *sender) error {
 	if recorded.GetTruncated() {
-		return out.broken("the call has run; its answer was too large to be kept")
+		return out.broken("the call has run; its answer was too large to be kept", "")
 	}
 	if err := out.head(int(recorded.GetStatus()), recorded.GetHeaders(), ""); err != nil {
 		return err
@@ -113,11 +115,22 @@
 		return out.refused(faultOf(err), p.keeper.ticket())
 	default:
 		countOutcome("broken")
-		p.logger.InfoContext(ctx, "the answer of an endpoint is not whole", slog.Any("error", err))
-		return out.broken(err.Error())
+		ended := p.endedRun(ctx, d.GetEndpoint())
+		p.logger.InfoContext(ctx, "the answer of an endpoint is not whole", slog.Any("error", err), slog.String("ended_run", ended))
+		return out.broken(err.Error(), ended)
 	}
 }
 
+// endedRun names the run of an endpoint's process that has ended under a call; empty if the
+// endpoint still listens, or the call was ended from this side.
+func (p *dispatcher) endedRun(ctx context.Context, endpoint string) string {
+	if ctx.Err() != nil || !p.client.refuses(ctx, p.endpoints[endpoint]) {
+		return ""
+	}
+	metrics.GetOrCreateCounter(`lilackeel_agent_ended_under_call_total{endpoint="` + endpoint + `"}`).Inc()
+	return p.runs.end(endpoint)
+}
+
 func countOutcome(outcome string) {
 	metrics.GetOrCreateCounter(`lilackeel_agent_dispatches_total{outcome="` + outcome + `"}`).Inc()
 }
@@ -175,6 +188,7 @@
 		return gate.Broken, err
 	}
 	defer func() { _ = response.Body.Close() }()
+	c.runs.answered(e.ID)
 	answer := newAnswer(e, response, offset)
 	if offset > 0 && response.StatusCode == http.StatusNotFound {
 		return gate.NotRun, errNoResume()
--- a/agent/sender.go
+++ b/agent/sender.go
@@ -58,8 +58,8 @@
 	return s.stream.Send(message)
 }
 
-func (s *sender) broken(text string) error {
+func (s *sender) broken(text, endedRun string) error {
 	message := s.stamp()
-	message.Kind = &agentv1.DispatchResponse_Broken{Broken: &agentv1.Broken{MayHaveRun: true, Message: text}}
+	message.Kind = &agentv1.DispatchResponse_Broken{Broken: &agentv1.Broken{MayHaveRun: true, Message: text, EndedRun: endedRun}}
 	return s.stream.Send(message)
 }
--- a/call/digest.go
+++ b/call/digest.go
@@ -11,9 +11,14 @@
 // Digest identifies what a key stands for: SHA-256 over method, path with
 // query, and body, each preceded by its length.
 func Digest(method, path string, body []byte) []byte {
+	return digest([]byte(method), []byte(path), body)
+}
+
+// digest is SHA-256 over parts, each preceded by its length.
+func digest(parts ...[]byte) []byte {
 	hash := sha256.New()
 	var length [8]byte
-	for _, part := range [][]byte{[]byte(method), []byte(path), body} {
+	for _, part := range parts {
 		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
 		hash.Write(length[:])
 		hash.Write(part)
--- a/direct/client.go
+++ b/direct/client.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sync/singleflight"
 	"golang.org/x/sys/unix"
 
 	"github.com/lilackeel/lilackeel/fault"
@@ -67,6 +68,8 @@
 type Client struct {
 	config Config
 	dialer net.Dialer
+	// looks are the looks for a listener that are under way, by address.
+	looks singleflight.Group
 
 	mu sync.Mutex
 	// idle holds the unused connections to each address, the latest used last.
--- /dev/null
+++ b/direct/listening_test.go
@@ -0,0 +1,20 @@
+package direct
+
+import (
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestAnEndedProcessIsToldFromOneThatListens(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := listener.Addr().String()
+	c := NewClient(Config{})
+	defer c.Close()
+	is.True(!c.Refuses(t.Context(), addr))
+	is.NoErr(listener.Close())
+	is.True(c.Refuses(t.Context(), addr))
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -161,11 +162,24 @@
 		a.failed = kind.Head.GetStatus() >= http.StatusInternalServerError
 	case *agentv1.DispatchResponse_Broken:
 		a.failed = true
+		x.noteEnded(kind.Broken.GetEndedRun())
 	case *agentv1.DispatchResponse_Refused:
 		x.server.metrics.refusedByAgent(kind.Refused.GetKind())
 	}
 }
 
+// noteEnded takes in that the endpoint's process has ended under the attempt, if it has: run
+// names what it was then.
+func (x *exchange) noteEnded(run string) {
+	if run == "" {
+		return
+	}
+	x.server.metrics.endedUnder.Inc()
+	x.server.Logger.LogAttrs(x.caller, slog.LevelInfo, "an endpoint ended under a request",
+		slog.String("request_id", x.request.id), slog.Any("fingerprint", x.request.fingerprint()), slog.String("endpoint", run),
+		slog.Duration("ran", x.now()-x.attempt.started))
+}
+
 // closeAttempt ends the attempt under way, if there is one, and notes how the
 // endpoint did.
 func (x *exchange) closeAttempt() {
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -313,7 +313,7 @@
 		return
 	}
 	attrs := []slog.Attr{
-		slog.String("request_id", q.id), slog.String("dispatch_id", q.dispatchID),
+		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint()), slog.String("dispatch_id", q.dispatchID),
 		slog.String("workspace", q.workspace.GetName()), slog.String("endpoint", x.target.Endpoint),
 		slog.Int("attempt", counts.Attempts), slog.Uint64("revision", q.directory.Revision),
 		slog.String("outcome", v.Outcome.String()), slog.Duration("took", x.now()-x.begun),
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -13,13 +13,15 @@
 // serverMetrics counts what happens to requests. The metrics belong to the
 // process: servers of one process share them.
 type serverMetrics struct {
-	inFlight     atomic.Int64
-	attempts     *metrics.Counter
-	retries      *metrics.Counter
-	resumes      *metrics.Counter
-	foreign      *metrics.Counter
-	duplicates   *metrics.Counter
-	revokes      *metrics.Counter
+	inFlight   atomic.Int64
+	attempts   *metrics.Counter
+	retries    *metrics.Counter
+	resumes    *metrics.Counter
+	foreign    *metrics.Counter
+	duplicates *metrics.Counter
+	revokes    *metrics.Counter
+	// endedUnder counts the attempts under which the endpoint's process has ended.
+	endedUnder   *metrics.Counter
 	claimSeconds *metrics.Histogram
 }
 
@@ -30,6 +32,7 @@
 		resumes:      metrics.GetOrCreateCounter("lilackeel_entry_resumes_total"),
 		foreign:      metrics.GetOrCreateCounter("lilackeel_entry_foreign_responses_total"),
 		duplicates:   metrics.GetOrCreateCounter("lilackeel_entry_duplicate_responses_total"),
+		endedUnder:   metrics.GetOrCreateCounter("lilackeel_entry_ended_under_request_total"),
 		revokes:      metrics.GetOrCreateCounter("lilackeel_entry_revokes_total"),
 		claimSeconds: metrics.GetOrCreateHistogram("lilackeel_entry_claim_seconds"),
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -69,6 +69,11 @@
 	work load.Work
 }
 
+// fingerprint is the same for a request that comes again under another id.
+func (q *request) fingerprint() call.Fingerprint {
+	return call.FingerprintOf(q.workspace.GetName(), q.method, q.target, q.body)
+}
+
 // retryNoConfiguration is when to ask an entry again that has just started.
 const retryNoConfiguration = time.Second
 
--- a/routed/attempt.go
+++ b/routed/attempt.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -43,6 +44,7 @@
 	if f.Kind == fault.Unavailable && !a.moved.Load() {
 		return failed(call.Unsent, f)
 	}
+	a.noteEnded()
 	return a.cut(f)
 }
 
@@ -53,6 +55,20 @@
 	return result
 }
 
+// noteEnded finds out whether the endpoint's process has ended under the attempt. Streams
+// at the other ranks of a group are cut as well when one ends, but their own endpoints go
+// on listening.
+func (a *attempt) noteEnded() {
+	s := a.server
+	if a.caller.Err() != nil || a.moved.Load() || !s.Client.Refuses(a.caller, a.target.Addr) {
+		return
+	}
+	s.metrics.endedUnder.Inc()
+	s.Logger.LogAttrs(a.caller, slog.LevelInfo, "an endpoint ended under a request",
+		slog.String("request_id", a.request.id), slog.Any("fingerprint", a.request.fingerprint), slog.String("endpoint", a.target.ID),
+		slog.Duration("ran", s.clock()-a.started))
+}
+
 // done notes how the endpoint did.
 func (a *attempt) done(fault bool) {
 	s, now := a.server, a.server.clock()
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -96,6 +96,7 @@
 	held, err := io.ReadAll(io.LimitReader(r.Body, int64(s.config.HoldBytes)+1))
 	if err != nil {
 		a.done(a.caller.Err() == nil)
+		a.noteEnded()
 		return failed(call.Ran, errCut(err))
 	}
 	a.parts = 1
@@ -138,6 +139,7 @@
 		}
 		if err != nil {
 			a.done(a.caller.Err() == nil)
+			a.noteEnded()
 			return attemptResult{done: true, abort: true, outcome: call.Unknown.String(), fault: errCut(err)}
 		}
 	}
@@ -239,6 +241,7 @@
 func (a *attempt) broken(f *fault.Error) attemptResult {
 	left := a.caller.Err() != nil
 	a.done(!left && !a.moved.Load())
+	a.noteEnded()
 	if !a.opened {
 		return a.cut(f)
 	}
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -282,7 +282,7 @@
 		return clean
 	}
 	s.Logger.LogAttrs(x.caller, slog.LevelInfo, "ended a request",
-		slog.String("request_id", q.id), slog.String("route", q.route.GetName()), slog.Uint64("version", q.version),
+		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint), slog.String("route", q.route.GetName()), slog.Uint64("version", q.version),
 		slog.String("workspace", q.workspace.GetName()), slog.String("pool", q.pool), slog.String("endpoint", x.target.ID),
 		slog.Int("attempts", len(x.tried)), slog.String("outcome", x.outcome), slog.Int("status", status),
 		slog.Duration("placed", x.placed), slog.Duration("first", x.first), slog.Duration("longest_pause", x.longest),
@@ -294,7 +294,7 @@
 // logAgain logs that the request is tried anew, and why.
 func (x *exchange) logAgain(f *fault.Error, delay time.Duration) {
 	x.server.Logger.LogAttrs(x.caller, slog.LevelInfo, "trying again",
-		slog.String("request_id", x.request.id), slog.String("endpoint", x.target.ID), slog.Int("attempts", len(x.tried)),
+		slog.String("request_id", x.request.id), slog.Any("fingerprint", x.request.fingerprint), slog.String("endpoint", x.target.ID), slog.Int("attempts", len(x.tried)),
 		slog.Duration("delay", delay), slog.String("reason", f.Error()))
 }
 
--- a/routed/metrics.go
+++ b/routed/metrics.go
@@ -15,12 +15,15 @@
 	inFlight atomic.Int64
 	attempts *metrics.Counter
 	resumes  *metrics.Counter
+	// endedUnder counts the attempts under which the endpoint's process has ended.
+	endedUnder *metrics.Counter
 }
 
 func newServerMetrics() *serverMetrics {
 	m := &serverMetrics{
-		attempts: metrics.GetOrCreateCounter(`lilackeel_routed_attempts_total`),
-		resumes:  metrics.GetOrCreateCounter(`lilackeel_routed_resumes_total`),
+		attempts:   metrics.GetOrCreateCounter(`lilackeel_routed_attempts_total`),
+		resumes:    metrics.GetOrCreateCounter(`lilackeel_routed_resumes_total`),
+		endedUnder: metrics.GetOrCreateCounter(`lilackeel_routed_ended_under_request_total`),
 	}
 	metrics.GetOrCreateGauge(`lilackeel_routed_requests_in_flight`, func() float64 { return float64(m.inFlight.Load()) })
 	return m
--- a/routed/request.go
+++ b/routed/request.go
@@ -36,6 +36,8 @@
 	work                 load.Work
 	// late is true for a caller who has asked before and waited beyond the objective.
 	late bool
+	// fingerprint is the same for a request that comes again under another id.
+	fingerprint call.Fingerprint
 }
 
 // parse reads a request. What it returns beside a verdict names the request as
@@ -74,9 +76,16 @@
 	if s.config.Headers.Size != nil {
 		q.work.PromptTokens, q.work.MaxTokens = s.config.Headers.Size(r.Header)
 	}
-	return q, s.readBody(w, r, q, table)
+	if v := s.readBody(w, r, q, table); v != nil {
+		return q, v
+	}
+	q.fingerprint = call.FingerprintOf(q.caller(), q.method, q.target, q.body)
+	return q, nil
 }
 
+// caller names who sent the request.
+func (q *request) caller() string { return q.workspace.GetName() }
+
 const (
 	// sitePatience bounds how long a request waits for the first site of an entry that
 	// has just started: that comes within some tenths of a second of the replicas'
