--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -51,6 +51,7 @@
 	server *Server
 	front  *httptest.Server
 	table  *endpoint.Table
+	backs  []*httptest.Server
 	mu     sync.Mutex
 	seen   []*http.Request
 	bodies []string
@@ -70,6 +71,7 @@
 			handle(w, r)
 		}))
 		t.Cleanup(back.Close)
+		b.backs = append(b.backs, back)
 		b.table.Apply([]endpoint.Endpoint{{
 			ID: "e" + string(rune('1'+i)), Pool: "pool", Addr: strings.TrimPrefix(back.URL, "http://"), Slots: 8, Revision: 1,
 		}}, nil)
