Reset the connection of a request that nobody waits for any more

Cause, of the test: a request that is given up was closed like any other, so that what the endpoint's host had not taken stayed in this host's buffers and was delivered whenever that host was back: 196,660 of 196,660 bytes, four seconds after the caller had left.

Change: abandoned connections are reset (no linger), which drops what was not taken: the endpoint gets the 32,820 bytes that its host had, and then a reset. Whole answers are closed and kept as before. The test of the end of a context awaits the reset in place of a plain end, which is as strict: a plain end would be the fault.

--- a/direct/conn.go
+++ b/direct/conn.go
@@ -80,3 +80,13 @@
 }
 
 func (c *conn) close() { _ = c.raw.Close() }
+
+// abandon closes the connection of a request that nobody waits for any more. What the
+// endpoint's host has not taken yet is dropped: a plain close would deliver it whenever that
+// host is back, long after the caller has left.
+func (c *conn) abandon() {
+	if tcp, ok := c.raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	c.close()
+}
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -260,7 +261,7 @@
 	time.AfterFunc(50*time.Millisecond, cancel)
 	_, err := NewClient(Config{}).Send(ctx, s.addr(), request())
 	is.Equal(fault.KindOf(err), fault.Unknown)
-	is.True(errors.Is(<-closed, io.EOF))
+	is.True(errors.Is(<-closed, syscall.ECONNRESET)) // reset, so that nothing is delivered later
 }
 
 // An endpoint's own words on how long it keeps a connection are heeded.
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -61,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{client: c, conn: used, request: r, stop: context.AfterFunc(ctx, used.close)}
+	x := &exchange{client: c, conn: used, request: r, stop: context.AfterFunc(ctx, used.abandon)}
 	if err := x.write(); err != nil {
 		x.abort()
 		return nil, err
@@ -197,7 +197,7 @@
 func (x *exchange) abort() {
 	x.once.Do(func() {
 		x.stop()
-		x.conn.close()
+		x.conn.abandon()
 	})
 }
 
