--- a/direct/listening.go
+++ b/direct/listening.go
@@ -9,7 +9,7 @@
 
 // lookTimeout is how long a host may take to say that nothing listens: a few ways within a
 // region. What waits for the answer is to be tried elsewhere.
-const lookTimeout = 50 * time.Millisecond
+const lookTimeout = 150 * time.Millisecond
 
 // Refuses reports whether an endpoint's host answers that nothing listens at the address:
 // the endpoint's process has ended. A host that does not answer says nothing. Those who ask
