Soak of separate processes: kills, freezes and planned stops from a seed, with callers and an operator

No soak existed: what runs for longer than an example was only played in simulated time. go test ./e2e -run TestSoak starts the daemons on loopback under a plan made from a seed, with callers that keep connections open and an operator, and holds what they saw against what the endpoints ran. Each check is seen to fail once on purpose.

--- /dev/null
+++ b/e2e/soak_test.go
@@ -0,0 +1,249 @@
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/standin/caller"
+)
+
+// The settings of a soak: go test ./e2e -run TestSoak -args -soak.seed 1 -soak.seeds 50 -soak.length 30s
+var (
+	soakSeed   = flag.Uint64("soak.seed", 1, "first seed of the soak")
+	soakSeeds  = flag.Uint64("soak.seeds", 1, "number of seeds")
+	soakLength = flag.Duration("soak.length", 20*time.Second, "time with callers and faults for each seed")
+)
+
+const (
+	// soakCallers is the number of callers at a time.
+	soakCallers = 8
+	// callTimeout bounds one try.
+	callTimeout = 8 * time.Second
+	// callTries bounds the tries of a call whose end is not known.
+	callTries = 6
+)
+
+// TestSoak runs the daemons as separate processes under faults from outside, in overlapping
+// series that come from a seed alone, with callers and an operator that go on all the while.
+// Whatever callers saw must hold against what the endpoints have run, and nothing accepted may
+// be lost.
+func TestSoak(t *testing.T) {
+	for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel() // it mostly waits
+			newSoak(t, seed).run(t)
+		})
+	}
+}
+
+// soak is one site under one plan.
+type soak struct {
+	*site
+	ledger
+	seed    uint64
+	daemons []*process
+	plan    plan
+}
+
+func newSoak(t *testing.T, seed uint64) *soak {
+	t.Helper()
+	s := &soak{site: newSite(t), seed: seed}
+	s.daemons = append(append(append(s.daemons, s.fronts...), s.agents...), s.controls...)
+	s.plan = newPlan(seed, len(s.daemons), *soakLength)
+	t.Logf("daemons 0 and 1 are entries, 2 and 3 agents, the rest control replicas; plan: %v", s.plan)
+	return s
+}
+
+func (s *soak) run(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithTimeout(t.Context(), *soakLength)
+	defer stop()
+	var group sync.WaitGroup
+	group.Go(func() { s.harm(t) })
+	for i := range soakCallers {
+		group.Go(func() { s.call(ctx, rand.New(rand.NewPCG(s.seed, uint64(i))), i) })
+	}
+	s.operate(ctx, t)
+	group.Wait()
+	quiet := time.Now()
+	s.awaitServing(t)
+	t.Logf("served again %v after the last fault", time.Since(quiet))
+	for _, wrong := range s.wrongs(s.allRuns(t)) {
+		t.Error(wrong)
+	}
+	configuration := s.configuration(t)
+	names := map[string]bool{}
+	for _, w := range configuration.GetWorkspaces() {
+		names[w.GetName()] = true
+	}
+	is.Equal(s.missing(names), []string{}) // what was accepted is there
+	answered := 0
+	for i := range s.calls {
+		if s.calls[i].answered {
+			answered++
+		}
+	}
+	whole := 0
+	for i := range s.chats {
+		if s.chats[i].result.Whole {
+			whole++
+		}
+	}
+	t.Logf("%d faults, %d intents, %d calls (%d answered), %d chats (%d whole)", len(s.harms), len(s.intents), len(s.calls), answered, len(s.chats), whole)
+	is.True(answered > 0 && whole > 0)
+}
+
+// harm carries out the plan. A daemon that is being harmed is left alone.
+func (s *soak) harm(t *testing.T) {
+	var group sync.WaitGroup
+	busy := make([]sync.Mutex, len(s.daemons))
+	begun := time.Now()
+	for _, f := range s.plan {
+		time.Sleep(time.Until(begun.Add(f.at)))
+		if !busy[f.daemon].TryLock() {
+			continue
+		}
+		s.mu.Lock()
+		at := len(s.harms)
+		s.harms = append(s.harms, harm{fault: f, begun: time.Now()})
+		s.mu.Unlock()
+		group.Go(func() {
+			defer busy[f.daemon].Unlock()
+			s.daemons[f.daemon].harmed(t, f)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.harms[at].end = time.Now()
+		})
+	}
+	group.Wait()
+}
+
+// operate states an intent after the other, each confirmed before the next, and sees that the
+// revision never goes back.
+func (s *soak) operate(ctx context.Context, t *testing.T) {
+	var last uint64
+	for i := 0; ctx.Err() == nil; i++ {
+		name := fmt.Sprintf("soak-%d", i)
+		revision := s.accept(t, &controlv1.Intent{Id: name, Operator: "e2e", Workspaces: []*fleetv1.Workspace{{Name: name, Importance: 1}}})
+		if revision <= last {
+			t.Errorf("intent %d got revision %d after %d", i, revision, last)
+		}
+		last = revision
+		note(&s.ledger, &s.intents, name)
+		time.Sleep(300 * time.Millisecond)
+	}
+}
+
+// call sends requests until ctx ends. Connections are kept open all the while.
+func (s *soak) call(ctx context.Context, rng *rand.Rand, number int) {
+	c := s.caller()
+	c.Client = &http.Client{Transport: &http.Transport{}}
+	for i := 0; ctx.Err() == nil; i++ {
+		name := fmt.Sprintf("soak-%d-%d-%d", s.seed, number, i)
+		if rng.IntN(2) == 0 {
+			s.chat(c, rng, name)
+		} else {
+			s.single(c, rng, name)
+		}
+	}
+}
+
+func (s *soak) chat(c *caller.Caller, rng *rand.Rand, prompt string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	seen := seenChat{prompt: prompt, begun: time.Now()}
+	seen.result, seen.err = c.Chat(ctx, rng.IntN(hosts), prompt, 4+rng.IntN(60))
+	seen.end = time.Now()
+	note(&s.ledger, &s.chats, seen)
+	pauseAfter(seen.err, seen.result.Status)
+}
+
+// single sends a call that must run at most once, again under its key at any entry as long as
+// its end is not known.
+func (s *soak) single(c *caller.Caller, rng *rand.Rand, body string) {
+	key := caller.NewKey()
+	seen := seenCall{body: body, refused: true}
+	for range callTries {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		result, err := c.Call(ctx, rng.IntN(hosts), http.MethodPost, swapsPath, []byte(body), key)
+		cancel()
+		seen.answered = result.Whole && strings.Contains(string(result.Body), body)
+		seen.refused = seen.refused && err == nil && result.Outcome == outcomeNotRun
+		pauseAfter(err, result.Status)
+		if seen.answered || err == nil && result.Outcome == outcomeNotRun && seen.refused {
+			break
+		}
+	}
+	note(&s.ledger, &s.calls, seen)
+}
+
+// pauseAfter keeps callers from spinning while nothing takes their requests.
+func pauseAfter(err error, status int) {
+	if err != nil || status >= http.StatusBadRequest {
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// allRuns returns how often each body has run at all stand-in services.
+func (s *soak) allRuns(t *testing.T) map[string]int {
+	t.Helper()
+	runs := map[string]int{}
+	for i := range s.services {
+		var effects []struct {
+			Body string `json:"body"`
+		}
+		if err := json.NewDecoder(bytes.NewReader(s.list(t, i, swapsPath))).Decode(&effects); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range effects {
+			runs[e.Body]++
+		}
+	}
+	return runs
+}
+
+// TestTheChecksOfTheSoakCanFail puts a fault before each check.
+func TestTheChecksOfTheSoakCanFail(t *testing.T) {
+	is := is.New(t)
+	begun := time.Now()
+	end := begun.Add(time.Second)
+	whole := caller.Result{Status: 200, Whole: true, Body: []byte("data: own")}
+	for name, c := range map[string]struct {
+		ledger *ledger
+		runs   map[string]int
+		wrongs int
+	}{
+		"all is well":         {&ledger{calls: []seenCall{{body: "a", answered: true}}, chats: []seenChat{{prompt: "own", result: whole}}}, map[string]int{"a": 1}, 0},
+		"ran twice":           {&ledger{calls: []seenCall{{body: "a"}}}, map[string]int{"a": 2}, 1},
+		"refused, and ran":    {&ledger{calls: []seenCall{{body: "a", refused: true}}}, map[string]int{"a": 1}, 1},
+		"answered, never ran": {&ledger{calls: []seenCall{{body: "a", answered: true}}}, nil, 1},
+		"answer of another":   {&ledger{chats: []seenChat{{prompt: "other", result: whole}}}, nil, 1},
+		"cut by a planned stop": {&ledger{
+			chats: []seenChat{{result: caller.Result{Status: 200}, err: errors.New("cut"), begun: begun, end: end}},
+			harms: []harm{{fault: plannedFault{kind: stopped}, begun: begun, end: end}},
+		}, nil, 1},
+		"cut by a kill": {&ledger{
+			chats: []seenChat{{result: caller.Result{Status: 200}, begun: begun, end: end}},
+			harms: []harm{{fault: plannedFault{kind: killed}, begun: begun, end: end}},
+		}, nil, 0},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(len(c.ledger.wrongs(c.runs)), c.wrongs) })
+	}
+	lost := ledger{intents: []string{"a", "b"}}
+	is.Equal(lost.missing(map[string]bool{"a": true}), []string{"b"})
+	is.Equal(newPlan(3, 7, time.Minute), newPlan(3, 7, time.Minute)) // a seed says everything
+}
