lilackeelctl summary: what became of requests by time, pool and cause, from the daemons' logs

An incident begins without a request's id; explain-request needs one, and the scripts that count causes were nobody's tool. The command prints outcomes by ten seconds and pool, causes with their first and last time, and the requests under which several endpoints have ended. The soak gets links that are muted and broken.

--- a/e2e/soak_plan_test.go
+++ b/e2e/soak_plan_test.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-// faultKind is what is done to a daemon from outside.
+// faultKind is what is done to a daemon, or to a link between daemons, from outside.
 type faultKind string
 
 const (
@@ -18,13 +18,18 @@
 	stopped faultKind = "stop"
 	killed  faultKind = "kill"
 	frozen  faultKind = "freeze"
+	// muted links hold back what is sent, one way or both, and let it pass late; on broken
+	// links all connections end.
+	muted  faultKind = "mute"
+	broken faultKind = "break"
 )
 
 // plannedFault is one fault of a plan.
 type plannedFault struct {
-	at     time.Duration
-	kind   faultKind
-	daemon int
+	at   time.Duration
+	kind faultKind
+	// target is the number of a daemon, or of a link.
+	target int
 	length time.Duration
 }
 
@@ -36,11 +41,11 @@
 
 // newPlan spreads faults over a time: planned stops alone in its first third, then everything,
 // a fault each second in the mean, overlapping, now and then several at the same moment.
-func newPlan(seed uint64, daemons int, length time.Duration) plan {
+func newPlan(seed uint64, daemons, links int, length time.Duration) plan {
 	rng := rand.New(rand.NewPCG(seed, 7))
 	var p plan
 	for at := time.Second; at < length-quietTime; at += time.Duration(rng.IntN(2000)) * time.Millisecond {
-		kinds := []faultKind{stopped, killed, killed, frozen}
+		kinds := []faultKind{stopped, killed, frozen, muted, broken}
 		together := 1
 		if at < length/3 {
 			kinds = kinds[:1]
@@ -48,10 +53,12 @@
 			together = 1 + rng.IntN(daemons)
 		}
 		for range together {
-			p = append(p, plannedFault{
-				at: at, kind: kinds[rng.IntN(len(kinds))], daemon: rng.IntN(daemons),
-				length: time.Duration(100+rng.IntN(2400)) * time.Millisecond,
-			})
+			f := plannedFault{at: at, kind: kinds[rng.IntN(len(kinds))], length: time.Duration(100+rng.IntN(2400)) * time.Millisecond}
+			f.target = rng.IntN(daemons)
+			if f.kind == muted || f.kind == broken {
+				f.target = rng.IntN(links)
+			}
+			p = append(p, f)
 		}
 	}
 	return p
@@ -60,11 +67,23 @@
 func (p plan) String() string {
 	var text strings.Builder
 	for _, f := range p {
-		fmt.Fprintf(&text, "%v %s daemon %d for %v; ", f.at, f.kind, f.daemon, f.length)
+		fmt.Fprintf(&text, "%v %s %d for %v; ", f.at, f.kind, f.target, f.length)
 	}
 	return text.String()
 }
 
+// harmed carries out one fault on a link.
+func (f *forwarder) harmed(fault plannedFault) {
+	if fault.kind == broken {
+		f.reset()
+		return
+	}
+	ways := [...]cut{bothWays, {up: true}, {down: true}}
+	f.cut(anyone, ways[int(fault.length/time.Millisecond)%len(ways)])
+	time.Sleep(fault.length)
+	f.heal()
+}
+
 // harmed carries out one fault on a daemon, until it runs again.
 func (p *process) harmed(t *testing.T, f plannedFault) {
 	switch f.kind {
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -56,18 +56,37 @@
 	ledger
 	seed    uint64
 	daemons []*process
-	plan    plan
+	// links are between the replicas, to the agents, and from each entry and agent to the
+	// replicas.
+	links []*forwarder
+	plan  plan
 }
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	t.Helper()
-	s := &soak{site: newSite(t), seed: seed}
+	s := &soak{site: allocate(t, replicas), seed: seed}
+	s.peers = s.link(t, s.control)
+	s.advertised = s.link(t, s.agentAddrs)
+	for i := range hosts {
+		for _, daemon := range []string{fmt.Sprint("entry-", i), fmt.Sprint("agent-", i)} {
+			s.controlOf[daemon] = s.link(t, s.control)
+		}
+	}
+	s.startAll(t)
 	s.daemons = append(append(append(s.daemons, s.fronts...), s.agents...), s.controls...)
-	s.plan = newPlan(seed, len(s.daemons), *soakLength)
+	s.plan = newPlan(seed, len(s.daemons), len(s.links), *soakLength)
 	t.Logf("daemons 0 and 1 are entries, 2 and 3 agents, the rest control replicas; plan: %v", s.plan)
 	return s
 }
 
+// link puts links in front of some addresses, and returns the addresses of the links.
+func (s *soak) link(t *testing.T, addrs []string) []string {
+	t.Helper()
+	links, fronts := forwardTo(t, addrs)
+	s.links = append(s.links, links...)
+	return fronts
+}
+
 func (s *soak) run(t *testing.T) {
 	is := is.New(t)
 	ctx, stop := context.WithTimeout(t.Context(), *soakLength)
@@ -107,14 +126,19 @@
 	is.True(answered > 0 && whole > 0)
 }
 
-// harm carries out the plan. A daemon that is being harmed is left alone.
+// harm carries out the plan. What is being harmed is left alone.
 func (s *soak) harm(t *testing.T) {
 	var group sync.WaitGroup
-	busy := make([]sync.Mutex, len(s.daemons))
+	daemons, links := make([]sync.Mutex, len(s.daemons)), make([]sync.Mutex, len(s.links))
 	begun := time.Now()
 	for _, f := range s.plan {
 		time.Sleep(time.Until(begun.Add(f.at)))
-		if !busy[f.daemon].TryLock() {
+		onLink := f.kind == muted || f.kind == broken
+		busy := &daemons[f.target%len(daemons)]
+		if onLink {
+			busy = &links[f.target]
+		}
+		if !busy.TryLock() {
 			continue
 		}
 		s.mu.Lock()
@@ -122,8 +146,12 @@
 		s.harms = append(s.harms, harm{fault: f, begun: time.Now()})
 		s.mu.Unlock()
 		group.Go(func() {
-			defer busy[f.daemon].Unlock()
-			s.daemons[f.daemon].harmed(t, f)
+			defer busy.Unlock()
+			if onLink {
+				s.links[f.target].harmed(f)
+			} else {
+				s.daemons[f.target].harmed(t, f)
+			}
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.harms[at].end = time.Now()
@@ -245,5 +273,5 @@
 	}
 	lost := ledger{intents: []string{"a", "b"}}
 	is.Equal(lost.missing(map[string]bool{"a": true}), []string{"b"})
-	is.Equal(newPlan(3, 7, time.Minute), newPlan(3, 7, time.Minute)) // a seed says everything
+	is.Equal(newPlan(3, 7, 17, time.Minute), newPlan(3, 7, 17, time.Minute)) // a seed says everything
 }
--- a/operator/command.go
+++ b/operator/command.go
@@ -44,6 +44,7 @@
 	{name: "watch", arguments: []string{settingIntent}, optional: true, unbounded: true, run: (*session).watch, summary: "follow the status, or one intent until it is carried out"},
 	{name: "config", run: (*session).config, summary: "show the accepted configuration"},
 	{name: "explain-request", arguments: []string{settingIntent, settingFile}, offline: true, run: (*session).story, summary: "tell the story of a request from the daemons' logs, files separated by commas"},
+	{name: "summary", arguments: []string{settingFile}, offline: true, run: (*session).summarise, summary: "count what became of requests by time, pool and cause, from the daemons' logs"},
 	{name: "members", run: (*session).members, summary: "list the control replicas, or change one"},
 }
 
--- /dev/null
+++ b/operator/summary_test.go
@@ -0,0 +1,54 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// endedUnder are lines of two entries before endpoints that end.
+const endedUnder = `{"time":"2026-09-24T18:45:51.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-a","fingerprint":"f00d","endpoint":"e1","ends":1}
+{"time":"2026-09-24T18:45:52.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-a","fingerprint":"beef","endpoint":"e1","ends":1}
+{"time":"2026-09-24T18:45:53.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-b","fingerprint":"f00d","endpoint":"e2","ends":2}
+`
+
+func summarise(t *testing.T, text string) (string, int) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "log")
+	is.New(t).NoErr(os.WriteFile(path, []byte(text), 0o600))
+	var out, failed bytes.Buffer
+	code := Run(context.Background(), []string{"summary", path}, nil, nil, &out, &failed)
+	return out.String() + failed.String(), code
+}
+
+func TestSummary(t *testing.T) {
+	is := is.New(t)
+	text, code := summarise(t, recorded+endedUnder)
+	is.Equal(code, ExitOK)
+	lines := strings.Split(text, "\n")
+	has := func(parts ...string) bool {
+		for _, line := range lines {
+			if strings.Join(strings.Fields(line), " ") == strings.Join(parts, " ") {
+				return true
+			}
+		}
+		return false
+	}
+	is.True(has("18:45:40", "p", "0", "1", "0", "0", "0"))                                                    // by time and pool
+	is.True(has("1", "18:45:44", "18:45:44", "not-run: overloaded: not run: workspace w would wait about …")) // by cause
+	is.True(has("1", "18:45:50", "18:45:50", "trying again: unknown: the endpoint's answer was cut"))         // what was repeated
+	is.True(has("2", "f00d"))                                                                                 // ended two endpoints
+	is.True(!strings.Contains(text, "beef"))                                                                  // was there once
+}
+
+func TestSummaryOfLogsWithoutRequests(t *testing.T) {
+	is := is.New(t)
+	text, code := summarise(t, "nothing\n")
+	is.True(code != ExitOK)
+	is.True(strings.Contains(text, "name the logs of all entries"))
+}
