Links of the end-to-end tests listen on the ports that they are given, without closing them first

A second process of the same tests ran, and took the port between the look for it and the link's own listener. The links keep the listener of the look open now.

--- a/e2e/forwarder_test.go
+++ b/e2e/forwarder_test.go
@@ -36,12 +36,10 @@
 // forwardTo starts a forwarder for each target.
 func forwardTo(t *testing.T, targets []string) (list []*forwarder, addrs []string) {
 	t.Helper()
-	addrs = ports(t, len(targets))
+	open := listeners(t, len(targets))
 	for i, target := range targets {
-		listener, err := net.Listen("tcp", addrs[i])
-		if err != nil {
-			t.Fatal(err)
-		}
+		listener := open[i]
+		addrs = append(addrs, listener.Addr().String())
 		f := &forwarder{target: target, cuts: map[int]cut{}, open: map[*forwarded]bool{}}
 		f.changed = sync.NewCond(&f.mu)
 		t.Cleanup(func() { _ = listener.Close(); f.heal(); f.reset() })
--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -137,11 +137,22 @@
 
 // ports returns n free loopback addresses.
 func ports(t *testing.T, n int) []string {
+	t.Helper()
+	var addresses []string
+	for _, listener := range listeners(t, n) {
+		addresses = append(addresses, listener.Addr().String())
+		_ = listener.Close()
+	}
+	return addresses
+}
+
+// listeners returns n open listeners at addresses that no test of this process has been given.
+// Who listens itself keeps them open: a test of another process may take a port that is closed.
+func listeners(t *testing.T, n int) []net.Listener {
 	t.Helper()
 	givenMu.Lock()
 	defer givenMu.Unlock()
 	var listeners []net.Listener
-	var addresses []string
 	for len(listeners) < n {
 		port := firstPort + rand.IntN(portRange)
 		if given[port] {
@@ -156,12 +167,8 @@
 			t.Fatal(err)
 		}
 		listeners = append(listeners, listener)
-		addresses = append(addresses, listener.Addr().String())
 	}
-	for _, listener := range listeners {
-		_ = listener.Close()
-	}
-	return addresses
+	return listeners
 }
 
 // eventually waits until check returns nil.
--- a/quarantine/world_test.go
+++ b/quarantine/world_test.go
@@ -22,8 +22,6 @@
 	posts     []arrival
 	positions []uint64
 	engines   []*engine
-	// jobs are the requests that are run or will be tried again.
-	jobs []*job
 	// sentLate counts what was sent of the bad request later than grace after its third end.
 	ends, sentLate int
 	third          time.Duration
