--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -173,7 +173,7 @@
 func (b *Book) take(now time.Duration, s Sighting) {
 	r := b.requests[s.Request]
 	if r == nil {
-		b.makeRoom(now)
+		b.makeRoom()
 		r = &record{ends: map[uint64]time.Duration{}, cleared: map[uint64]bool{}}
 		b.requests[s.Request] = r
 		b.known.Store(int64(len(b.requests)))
--- a/quarantine/forget.go
+++ b/quarantine/forget.go
@@ -29,7 +29,7 @@
 
 // makeRoom drops a request if there is no room for one more: the one with the fewest ends and,
 // of these, the one sighted the longest ago. The lock is held.
-func (b *Book) makeRoom(now time.Duration) {
+func (b *Book) makeRoom() {
 	if len(b.requests) < maxRequests {
 		return
 	}
