--- a/e2e/process_test.go
+++ b/e2e/process_test.go
@@ -125,8 +125,20 @@
 const (
 	firstPort = 10000
 	portRange = 22000
+	// portBlock is the part of them that one process of tests takes from: two that run side by
+	// side take their ports from each other while a daemon is down.
+	portBlock = 2000
 )
 
+// randomPort returns a port of this process's block or, once that may be used up, any.
+func randomPort() int {
+	if len(given) >= portBlock/2 {
+		return firstPort + rand.IntN(portRange)
+	}
+	block := os.Getpid() % (portRange / portBlock)
+	return firstPort + block*portBlock + rand.IntN(portBlock)
+}
+
 // given are the ports that tests of this process have been given. A port is free
 // again for everyone between the look for it and its daemon's start, and tests run
 // side by side; so none is given twice.
@@ -154,7 +166,7 @@
 	defer givenMu.Unlock()
 	var listeners []net.Listener
 	for len(listeners) < n {
-		port := firstPort + rand.IntN(portRange)
+		port := randomPort()
 		if given[port] {
 			continue
 		}
