--- /dev/null
+++ b/entry/ratelimits_test.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/standin"
+	"github.com/lilackeel/lilackeel/wait"
+)
+
+// limitedFleet is a pool of plain services behind several entries, which follow some hosts and
+// no control replica.
+type limitedFleet struct {
+	t        *testing.T
+	services []*standin.Service
+	delta    *fleetv1.Delta
+	fronts   []*httptest.Server
+	// served and refused count the answers 200 and those that say that nothing ran.
+	served, refused, other atomic.Int64
+}
+
+func newLimitedFleet(t *testing.T, services, hosts int) *limitedFleet {
+	f := &limitedFleet{t: t}
+	split := []*fleetv1.Split{{Pool: "pool", Weight: 1}}
+	f.delta = &fleetv1.Delta{ToRevision: 1, Site: &fleetv1.Site{
+		Version: 1, Pools: []*fleetv1.Pool{{Name: "pool"}},
+		Routes: []*fleetv1.Route{{
+			Name: "read", Host: "crew.example", PathPrefix: "/read/", Kind: fleetv1.CallKind_CALL_KIND_IDEMPOTENT,
+			TimeoutMs: 2000, MaxAttempts: 2, Splits: split, Public: true,
+		}},
+	}}
+	serving := func(e *fleetv1.Endpoint) {
+		e.State, e.Live, e.Incarnation, e.Revision = fleetv1.EndpointState_ENDPOINT_STATE_SERVING, true, 1, 1
+		f.delta.Endpoints = append(f.delta.Endpoints, e)
+	}
+	for i := range services {
+		service := standin.NewService(time.Millisecond)
+		back := httptest.NewServer(service)
+		t.Cleanup(back.Close)
+		f.services = append(f.services, service)
+		serving(&fleetv1.Endpoint{Id: fmt.Sprint("e", i), Pool: "pool", Addr: strings.TrimPrefix(back.URL, "http://"), Slots: 64})
+	}
+	for i := range hosts {
+		addr, _ := startNoticeHost(t, "127.0.0.1:0")
+		serving(&fleetv1.Endpoint{Id: fmt.Sprint("rank-", i), Pool: "ranks", Role: endpoint.RoleRank, Agent: fmt.Sprint("host-", i), AgentAddr: addr})
+	}
+	return f
+}
+
+// startEntry starts an entry, and callers that send it so many requests a second.
+func (f *limitedFleet) startEntry(rate float64) {
+	f.t.Helper()
+	d, err := New(Config{
+		Name: fmt.Sprint("entry-", len(f.fronts)), Zone: "a", Listen: "127.0.0.1:0", Feed: []string{"127.0.0.1:1"}, Control: []string{"127.0.0.1:1"},
+		Routed: true, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10, BodyTimeout: time.Second, WriteTimeout: time.Second, HoldBytes: 64 << 10,
+		RetryAfter: 250 * time.Millisecond, RetryRatio: 0.1, RetryBurst: 10, MaxWait: 300 * time.Millisecond, MaxRetryAfter: time.Second,
+		ReportInterval: 20 * time.Millisecond, Peers: 1, Link: link.Config{},
+	}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	d.configurer.apply(f.t.Context(), (&feed.View{}).Apply(f.delta), f.delta)
+	go d.throttle(f.t.Context())
+	front := httptest.NewServer(d.routed)
+	f.fronts = append(f.fronts, front)
+	var callers sync.WaitGroup
+	f.t.Cleanup(func() {
+		callers.Wait()
+		front.Close()
+		_ = d.pool.Close()
+	})
+	callers.Go(func() {
+		for f.t.Context().Err() == nil {
+			wait.For(f.t.Context(), time.Duration(rand.ExpFloat64()/rate*float64(time.Second)))
+			callers.Go(func() { f.ask(front.URL) })
+		}
+	})
+}
+
+// ask sends one request and counts its answer.
+func (f *limitedFleet) ask(url string) {
+	r, err := http.NewRequest(http.MethodGet, url+"/read/x", nil)
+	if err != nil {
+		f.t.Error(err)
+		return
+	}
+	r.Host = "crew.example"
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+		f.served.Add(1)
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		f.refused.Add(1)
+	default:
+		f.other.Add(1)
+	}
+}
+
+// allowed is what an endpoint that names a limit may get within a window: one and a half times
+// the limit, and five.
+func allowed(limit float64, window time.Duration) int { return int(1.5*limit*window.Seconds()) + 5 }
+
+// Guards against entries that each keep a named limit for themselves, or not at all: the sum
+// over all of them counts, on the path without agents.
+func TestEntriesTogetherKeepANamedLimit(t *testing.T) {
+	is := is.New(t)
+	const window = 4 * time.Second
+	f := newLimitedFleet(t, 3, 4)
+	f.services[0].SetFaults(standin.Faults{RateLimit: "1"})
+	for range 5 {
+		f.startEntry(12)
+	}
+	time.Sleep(1500 * time.Millisecond) // all entries know the limit
+	known := time.Now()
+	time.Sleep(window + time.Second)
+	got := f.services[0].MostArrivals(known, window)
+	t.Logf("the limited endpoint got %d in %v, the others %d and %d; %d answered, %d refused, %d others", got, window,
+		f.services[1].MostArrivals(known, window), f.services[2].MostArrivals(known, window), f.served.Load(), f.refused.Load(), f.other.Load())
+	is.True(got <= allowed(1, window))
+	is.True(got >= 1)                                   // the limit is used
+	is.Equal(f.refused.Load()+f.other.Load(), int64(0)) // the rest goes elsewhere
+}
