Tests of an entry under a simulated clock no longer depend on an earlier test

Cause: under the simulated clock, which begins in 2000, the time since the process's start is negative, so that a request that is not held looks held; an earlier test moved the process's start and left it moved. Change: the servers of these tests start at the simulated clock, and the earlier test puts the start back. Result: the test passes alone, in the package, and in a shuffled run of it.

--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -128,7 +128,7 @@
 	}))
 	table := endpoint.NewTable()
 	policy := call.DefaultPolicy
-	return NewServer(Config{
+	s := NewServer(Config{
 		DefaultDeadline: time.Minute, MaxDeadline: time.Hour, MaxBodyBytes: 1 << 20, MaxHeaderBytes: 1 << 16, BodyTimeout: time.Second,
 		WriteTimeout: time.Second, MaxAttempts: policy.MaxAttempts, RetryRatio: 1, RetryBurst: 10, HoldBytes: 1 << 20,
 		FirstByteTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, AccessLog: true,
@@ -137,6 +137,8 @@
 		Outliers: outlier.New(outlier.Config{}), Agents: f, Claims: f, Knowledge: f, Quarantine: quarantine.NewBook(), RateLimits: NewRateLimits(table, slog.New(slog.DiscardHandler)),
 		Logger: slog.New(slog.DiscardHandler),
 	})
+	s.start = time.Now() // of the bubble's clock, which may lie before the process's start
+	return s
 }
 
 // ask sends a request and returns the answer and how long it took.
--- a/entry/intake_test.go
+++ b/entry/intake_test.go
@@ -115,6 +115,7 @@
 		t.Run(fault, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
+				defer func(start time.Time) { processStart = start }(processStart)
 				processStart = time.Now()
 				f := newIntakeFleet(6)
 				f.countsOnly = strings.HasSuffix(fault, "without step times")
