A test for each of the two checks of held requests that none guarded

The check before each further attempt (entry) and the one at admission (routed) could be taken out without a test failing. Taken out in a scratch copy now: 6 engines end under one request in place of 3, and a held request asks for a place (3 asks in place of 2).

--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -83,3 +83,17 @@
 		})
 	}
 }
+
+// Guards against a request that is sent on within its own attempts after three engines have
+// ended under it: the check before each further attempt.
+func TestAHeldRequestGetsNoFurtherAttempt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newMortals()
+		s := m.server()
+		s.policy.MaxAttempts = 6
+		refused, _ := ask(s, t.Context(), chatPath, `{"model":"draft","messages":[{"role":"user","content":"`+ending+`"}]}`)
+		is.Equal(m.ended, 3)
+		is.Equal(refused.Header().Get(call.HeaderOutcome), "unknown") // it has run
+	})
+}
--- a/routed/quarantine_test.go
+++ b/routed/quarantine_test.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -9,6 +10,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/workspace"
 )
 
 // ending is the body of a request that ends each endpoint which begins to run it.
@@ -122,3 +125,30 @@
 	is.Equal(m.send("/read/x", unlucky, 3).StatusCode, http.StatusBadGateway)
 	is.Equal(m.send("/read/x", unlucky, 4).StatusCode, http.StatusOK)
 }
+
+// countingAdmitter counts who asks for a place.
+type countingAdmitter struct {
+	open
+	asked atomic.Int32
+}
+
+func (a *countingAdmitter) AdmitTo(ctx context.Context, pool string, r workspace.Request) (func(), error) {
+	a.asked.Add(1)
+	return a.open.AdmitTo(ctx, pool, r)
+}
+
+// Guards against a held request that waits for a place, which others need, only to be refused:
+// the check at admission.
+func TestAHeldRequestAsksForNoPlace(t *testing.T) {
+	is := is.New(t)
+	m := newMortals(t, 6)
+	admitter := &countingAdmitter{}
+	m.server.Admitter = admitter
+	for id := range 2 {
+		m.send("/read/x", ending, id)
+	}
+	is.Equal(m.count(), 3)
+	before := admitter.asked.Load()
+	is.Equal(m.send("/read/x", ending, 3).StatusCode, http.StatusServiceUnavailable)
+	is.Equal(admitter.asked.Load(), before)
+}
