--- a/agent/announce.go
+++ b/agent/announce.go
@@ -22,13 +22,13 @@
 // announcer keeps the lease of the agent's endpoints by heartbeats to the
 // control leader.
 type announcer struct {
-	settings *Settings
-	keeper   *keeper
-	controls *controls
-	loaded   *loaded
-	health   *health
-	logger   *slog.Logger
-	addr     string
+	settings   *Settings
+	lockedGate *lockedGate
+	controls   *controls
+	loaded     *loaded
+	health     *health
+	logger     *slog.Logger
+	addr       string
 
 	// now wakes the loop ahead of its time.
 	now       chan struct{}
@@ -45,10 +45,10 @@
 	ackOnce      sync.Once
 }
 
-func newAnnouncer(s *Settings, k *keeper, c *controls, l *loaded, h *health, logger *slog.Logger) *announcer {
+func newAnnouncer(s *Settings, k *lockedGate, c *controls, l *loaded, h *health, logger *slog.Logger) *announcer {
 	a := &announcer{
 		settings:     s,
-		keeper:       k,
+		lockedGate:   k,
 		controls:     c,
 		loaded:       l,
 		health:       h,
@@ -149,7 +149,7 @@
 		a.sent = changes
 	}
 	a.mu.Unlock()
-	a.keeper.raiseFence(response.GetFence())
+	a.lockedGate.raiseFence(response.GetFence())
 	a.announced.Store(true)
 	if request.GetStopping() && !response.GetSendFull() {
 		a.acknowledge()
@@ -160,12 +160,12 @@
 
 func (a *announcer) request(changes uint64) *controlv1.AnnounceRequest {
 	s := a.settings
-	drain := a.keeper.drain()
+	drain := a.lockedGate.drain()
 	request := &controlv1.AnnounceRequest{
 		Agent: s.Name, Host: s.Host, Zone: s.Zone, Region: s.Region,
 		Addr:        a.addr,
-		Incarnation: a.keeper.incarnation(),
-		Revision:    a.keeper.revision(),
+		Incarnation: a.lockedGate.incarnation(),
+		Revision:    a.lockedGate.revision(),
 		Stopping:    a.stopping.Load(),
 		Drained:     drain.Drained,
 		InFlight:    drain.InFlight,
@@ -188,7 +188,7 @@
 			list[i].State = fleetv1.EndpointState_ENDPOINT_STATE_LEAVING
 		}
 		list[i].AgentAddr = a.addr
-		list[i].Incarnation = a.keeper.incarnation()
+		list[i].Incarnation = a.lockedGate.incarnation()
 	}
 	return list
 }
--- a/agent/bench_test.go
+++ b/agent/bench_test.go
@@ -31,10 +31,10 @@
 	streams := min(b.N, 400)
 	for range streams {
 		d := completion(true, "4")
-		d.Incarnation = s.daemon.keeper.incarnation()
+		d.Incarnation = s.daemon.lockedGate.incarnation()
 		must(s.client.Dispatch(b.Context(), d))
 	}
-	s.until("all streams run", func() bool { return s.daemon.keeper.inFlight() == streams })
+	s.until("all streams run", func() bool { return s.daemon.lockedGate.inFlight() == streams })
 	s.until("the engine has them", func() bool { runs, _ := engine.Counts(); return runs == streams })
 	b.StopTimer()
 	b.ReportMetric((liveBytes()-before)/float64(streams), "B/stream")
@@ -49,7 +49,7 @@
 	b.Run("agent", func(b *testing.B) {
 		b.ReportAllocs()
 		for b.Loop() {
-			d := &agentv1.DispatchRequest{Endpoint: "service", Method: http.MethodGet, Path: "/x", Incarnation: s.daemon.keeper.incarnation()}
+			d := &agentv1.DispatchRequest{Endpoint: "service", Method: http.MethodGet, Path: "/x", Incarnation: s.daemon.lockedGate.incarnation()}
 			stream := must(connection.Dispatch(b.Context(), d))
 			for {
 				if _, err := stream.Recv(); err != nil {
--- a/agent/claim_test.go
+++ b/agent/claim_test.go
@@ -26,7 +26,7 @@
 func (s *site) swap(claim string) *agentv1.DispatchRequest {
 	return &agentv1.DispatchRequest{
 		RequestId: claim, Attempt: 1, Endpoint: "service", Method: http.MethodPost, Path: "/swaps",
-		ClaimId: claim, ClaimTicketNs: s.daemon.keeper.ticket(),
+		ClaimId: claim, ClaimTicketNs: s.daemon.lockedGate.ticket(),
 		Headers: []*controlv1.Header{{Name: standin.HeaderKey, Value: claim}},
 	}
 }
@@ -42,7 +42,7 @@
 	service := standin.NewService(0)
 	s := newSite(t, map[string]http.Handler{"service": service})
 	service.SetFaults(standin.Faults{Stall: true})
-	claim := s.swap(gate.ClaimID("k", s.daemon.keeper.ticket()))
+	claim := s.swap(gate.ClaimID("k", s.daemon.lockedGate.ticket()))
 	claim.ClaimTicketNs = 0
 	is.Equal(s.dispatch(claim).refused.GetKind(), string(fault.Invalid)) // another ticket: closed, not run
 	claim = s.swap("claim")
@@ -55,7 +55,7 @@
 	repeated := make(chan reply, 1)
 	go func() { repeated <- s.dispatch(s.swap("claim")) }()
 	revoke := func() *agentv1.RevokeResponse {
-		return must(s.client.Revoke(t.Context(), &agentv1.RevokeRequest{ClaimId: "claim", Incarnation: s.daemon.keeper.incarnation()}))
+		return must(s.client.Revoke(t.Context(), &agentv1.RevokeRequest{ClaimId: "claim", Incarnation: s.daemon.lockedGate.incarnation()}))
 	}
 	is.Equal(revoke().GetState(), agentv1.RevokeState_REVOKE_STATE_RUNNING)
 	service.SetFaults(standin.Faults{})
@@ -66,10 +66,10 @@
 	is.Equal(len(service.Effects()), 1)
 
 	claim = s.swap("early")
-	claim.Incarnation = s.daemon.keeper.incarnation()
+	claim.Incarnation = s.daemon.lockedGate.incarnation()
 	is.NoErr(s.daemon.service.Dispatch(claim, &checkedStream{ctx: t.Context(), send: func(r *agentv1.DispatchResponse) {
 		if r.GetEnd() != nil { // who reads the end can ask for the answer at once
-			state := s.daemon.keeper.revoke(&agentv1.RevokeRequest{ClaimId: "early", Incarnation: claim.GetIncarnation()}).GetState()
+			state := s.daemon.lockedGate.revoke(&agentv1.RevokeRequest{ClaimId: "early", Incarnation: claim.GetIncarnation()}).GetState()
 			is.Equal(state, agentv1.RevokeState_REVOKE_STATE_ANSWERED)
 		}
 	}}))
@@ -97,7 +97,7 @@
 	s.replica.mu.Lock()
 	s.replica.publish([]*fleetv1.Endpoint{{Id: "service", Agent: "other", State: fleetv1.EndpointState_ENDPOINT_STATE_SERVING}})
 	s.replica.mu.Unlock()
-	s.until("the configuration is in force", func() bool { return s.daemon.keeper.revision() > revision })
+	s.until("the configuration is in force", func() bool { return s.daemon.lockedGate.revision() > revision })
 	got := s.dispatch(s.swap("theirs"))
 	is.Equal(got.refusedKind(), fault.Unavailable)
 }
@@ -119,7 +119,7 @@
 	service := standin.NewService(time.Millisecond)
 	s := newSite(t, map[string]http.Handler{"service": service})
 	successor := newSite(t, map[string]http.Handler{"service": service})
-	own := s.daemon.keeper.incarnation()
+	own := s.daemon.lockedGate.incarnation()
 	var mu sync.Mutex
 	denied, ended := map[string]bool{}, map[string]int{}
 	var group sync.WaitGroup
@@ -210,6 +210,6 @@
 	unasked.daemon.service.dispatcher.endpoints["service"] = e
 	got = unasked.dispatch(unasked.swap("b"))
 	is.Equal(got.refusedKind(), fault.Unavailable)
-	state := must(unasked.client.Revoke(t.Context(), &agentv1.RevokeRequest{ClaimId: "b", Incarnation: unasked.daemon.keeper.incarnation()})).GetState()
+	state := must(unasked.client.Revoke(t.Context(), &agentv1.RevokeRequest{ClaimId: "b", Incarnation: unasked.daemon.lockedGate.incarnation()})).GetState()
 	is.Equal(state, agentv1.RevokeState_REVOKE_STATE_NOT_RUN)
 }
--- a/agent/client.go
+++ b/agent/client.go
@@ -45,11 +45,11 @@
 	// never sent again by the transport.
 	single *http.Transport
 	dialer *net.Dialer
-	// keeper learns the rate limits that answers name.
-	keeper *keeper
+	// lockedGate learns the rate limits that answers name.
+	lockedGate *lockedGate
 }
 
-func newEndpointClient(k *keeper) *endpointClient {
+func newEndpointClient(k *lockedGate) *endpointClient {
 	dialer := &net.Dialer{Timeout: connectTimeout}
 	reused := &http.Transport{
 		DialContext:            dialer.DialContext,
@@ -60,7 +60,7 @@
 	}
 	single := reused.Clone()
 	single.DisableKeepAlives = true
-	return &endpointClient{reused: reused, single: single, dialer: dialer, keeper: k}
+	return &endpointClient{reused: reused, single: single, dialer: dialer, lockedGate: k}
 }
 
 func (c *endpointClient) close() {
@@ -121,13 +121,13 @@
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
-	sent := c.keeper.clock.now()
+	sent := c.lockedGate.clock.now()
 	response, err := transport.RoundTrip(request)
 	if err != nil && !connected.Load() {
 		return nil, unconnected(request.Context(), e, err)
 	}
 	if err == nil {
-		c.keeper.named(e.ID, sent, response.Header.Get(engineapi.HeaderRateLimit))
+		c.lockedGate.named(e.ID, sent, response.Header.Get(engineapi.HeaderRateLimit))
 	}
 	return response, err
 }
--- a/agent/control.go
+++ b/agent/control.go
@@ -27,7 +27,7 @@
 
 // learnFence reads the highest fencing token from a quorum. It tries until it
 // has it or ctx ends.
-func (c *controls) learnFence(ctx context.Context, k *keeper) {
+func (c *controls) learnFence(ctx context.Context, k *lockedGate) {
 	for ctx.Err() == nil {
 		err := c.Ask(ctx, func(ctx context.Context, client controlv1.ControlClient) error {
 			response, err := client.ReadFence(ctx, &controlv1.ReadFenceRequest{})
--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -39,19 +39,19 @@
 
 // Daemon is the assembled agent.
 type Daemon struct {
-	settings  *Settings
-	logger    *slog.Logger
-	ready     *telemetry.Ready
-	keeper    *keeper
-	service   *service
-	server    *grpc.Server
-	feed      *feed.Client
-	announcer *announcer
-	controls  *controls
-	client    *endpointClient
-	pool      *link.Pool
-	pollers   []*poller
-	ranks     *ranks.Ranks
+	settings   *Settings
+	logger     *slog.Logger
+	ready      *telemetry.Ready
+	lockedGate *lockedGate
+	service    *service
+	server     *grpc.Server
+	feed       *feed.Client
+	announcer  *announcer
+	controls   *controls
+	client     *endpointClient
+	pool       *link.Pool
+	pollers    []*poller
+	ranks      *ranks.Ranks
 
 	listener net.Listener
 	// steps is nil if the agent serves no rank.
@@ -93,7 +93,7 @@
 	defer cancel()
 	background, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	d.feed.OnApply(func(_, view *feed.View, _ *fleetv1.Delta) { d.keeper.configure(view) })
+	d.feed.OnApply(func(_, view *feed.View, _ *fleetv1.Delta) { d.lockedGate.configure(view) })
 	d.exportMetrics()
 	d.readLoaded(ctx)
 	var group sync.WaitGroup
@@ -117,7 +117,7 @@
 func (d *Daemon) start(ctx context.Context, group *sync.WaitGroup) {
 	group.Go(func() { _ = d.server.Serve(d.listener) })
 	group.Go(func() { _ = d.feed.Run(ctx) })
-	group.Go(func() { d.controls.learnFence(ctx, d.keeper) })
+	group.Go(func() { d.controls.learnFence(ctx, d.lockedGate) })
 	for _, p := range d.pollers {
 		group.Go(func() { p.loop(ctx) })
 	}
@@ -154,7 +154,7 @@
 		if d.feed.Ready() && d.announcer.announced.Load() {
 			d.setReady(ctx)
 			d.logger.InfoContext(ctx, "ready", slog.String("listen", d.listener.Addr().String()),
-				slog.Uint64("incarnation", d.keeper.incarnation()))
+				slog.Uint64("incarnation", d.lockedGate.incarnation()))
 			return
 		}
 		wait.For(ctx, readyPoll)
@@ -172,8 +172,8 @@
 // stop carries out the planned stop.
 func (d *Daemon) stop() {
 	d.ready.Set(false, stoppingReason)
-	d.logger.Info("stopping", slog.Int("in_flight", d.keeper.inFlight()))
-	d.keeper.stop()
+	d.logger.Info("stopping", slog.Int("in_flight", d.lockedGate.inFlight()))
+	d.lockedGate.stop()
 	ctx, cancel := d.stopLimit()
 	defer cancel()
 	acknowledged := d.announcer.stop()
@@ -181,7 +181,7 @@
 	d.announceDrained(ctx, acknowledged)
 	close(d.service.drained)
 	d.stopServer(ctx)
-	d.logger.Info("stopped", slog.Int("in_flight", d.keeper.inFlight()))
+	d.logger.Info("stopped", slog.Int("in_flight", d.lockedGate.inFlight()))
 }
 
 // awaitDrain waits until a replica has taken the stop, for stopAckTimeout at
@@ -192,7 +192,7 @@
 	case <-time.After(stopAckTimeout):
 	case <-ctx.Done():
 	}
-	for d.keeper.inFlight() > 0 && ctx.Err() == nil {
+	for d.lockedGate.inFlight() > 0 && ctx.Err() == nil {
 		wait.For(ctx, drainPoll)
 	}
 }
@@ -235,7 +235,7 @@
 // process, as in tests, the first one's are shown.
 func (d *Daemon) exportMetrics() {
 	metrics.GetOrCreateGauge("lilackeel_agent_configuration_revision", func() float64 {
-		return float64(d.keeper.revision())
+		return float64(d.lockedGate.revision())
 	})
 	metrics.GetOrCreateGauge("lilackeel_agent_knowledge_age_seconds", func() float64 {
 		_, at, ok := d.feed.Freshness()
@@ -246,7 +246,7 @@
 	})
 	for _, e := range d.settings.Endpoints {
 		metrics.GetOrCreateGauge(`lilackeel_agent_in_flight{endpoint="`+e.ID+`"}`, func() float64 {
-			return float64(d.keeper.inFlightAt(e.ID))
+			return float64(d.lockedGate.inFlightAt(e.ID))
 		})
 	}
 }
@@ -287,10 +287,10 @@
 	}), nil
 }
 
-func newPollers(s *Settings, k *keeper, c *endpointClient, b *board, l *loaded, h *health, logger *slog.Logger) []*poller {
+func newPollers(s *Settings, k *lockedGate, c *endpointClient, b *reportBuffer, l *loaded, h *health, logger *slog.Logger) []*poller {
 	list := make([]*poller, len(s.Endpoints))
 	for i, e := range s.Endpoints {
-		list[i] = &poller{endpoint: e, keeper: k, client: c, board: b, loaded: l, health: h, logger: logger, interval: s.PollInterval}
+		list[i] = &poller{endpoint: e, lockedGate: k, client: c, reportBuffer: b, loaded: l, health: h, logger: logger, interval: s.PollInterval}
 	}
 	return list
 }
--- a/agent/daemon_test.go
+++ b/agent/daemon_test.go
@@ -115,7 +115,7 @@
 func TestPlannedStopCutsNothing(t *testing.T) {
 	proof.Cell{
 		Promise: proof.PlannedStop, Faults: []proof.Fault{proof.Restart, proof.StalledRank}, Step: "an agent with 200 streams open at an engine that stands still",
-		Guard: "keeper.stop and the wait for work in flight, each alone", Together: true,
+		Guard: "lockedGate.stop and the wait for work in flight, each alone", Together: true,
 	}.Log(t)
 	is := is.New(t)
 	const open = 200
@@ -130,7 +130,7 @@
 			replies <- s.dispatch(d)
 		}()
 	}
-	s.until("all streams run", func() bool { return s.daemon.keeper.inFlight() == open })
+	s.until("all streams run", func() bool { return s.daemon.lockedGate.inFlight() == open })
 	s.stop()
 	s.until("the stop is announced", func() bool { return s.replica.last().GetStopping() })
 	ready, _ := s.daemon.Ready().Get()
@@ -157,7 +157,7 @@
 	s.daemon.settings.StopLimit = time.Millisecond
 	replies := make(chan reply)
 	go func() { replies <- s.dispatch(completion(true, "1")) }()
-	s.until("the call runs", func() bool { return s.daemon.keeper.inFlight() == 1 })
+	s.until("the call runs", func() bool { return s.daemon.lockedGate.inFlight() == 1 })
 	s.stop()
 	is.NoErr(<-s.stopped)
 	got := <-replies
@@ -177,7 +177,7 @@
 	})
 	is.True(errors.Is(got.err, context.Canceled))
 	s.until("the engine is told", func() bool { _, gone := engine.Counts(); return gone == 1 })
-	s.until("nothing is in flight", func() bool { return s.daemon.keeper.inFlight() == 0 })
+	s.until("nothing is in flight", func() bool { return s.daemon.lockedGate.inFlight() == 0 })
 }
 
 // An endpoint that writes faster than its caller reads is held back, so that
@@ -198,7 +198,7 @@
 		}
 	})})
 	ctx, leave := context.WithCancel(t.Context())
-	d := &agentv1.DispatchRequest{Endpoint: "service", Method: http.MethodGet, Path: "/", Incarnation: s.daemon.keeper.incarnation()}
+	d := &agentv1.DispatchRequest{Endpoint: "service", Method: http.MethodGet, Path: "/", Incarnation: s.daemon.lockedGate.incarnation()}
 	must(s.client.Dispatch(ctx, d))
 	const still = 100 // looks in a row without progress
 	for last, same := int64(0), 0; same < still; time.Sleep(time.Millisecond) {
@@ -212,5 +212,5 @@
 	leave()
 	<-ended
 	is.True(written.Load() < bound)
-	s.until("nothing is in flight", func() bool { return s.daemon.keeper.inFlight() == 0 })
+	s.until("nothing is in flight", func() bool { return s.daemon.lockedGate.inFlight() == 0 })
 }
--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -21,30 +21,30 @@
 
 // dispatcher runs dispatches on endpoints.
 type dispatcher struct {
-	settings  *Settings
-	keeper    *keeper
-	client    *endpointClient
-	health    *health
-	runs      *runs
-	logger    *slog.Logger
-	endpoints map[string]Endpoint
-	streams   streamIDs
+	settings   *Settings
+	lockedGate *lockedGate
+	client     *endpointClient
+	health     *health
+	runs       *runs
+	logger     *slog.Logger
+	endpoints  map[string]Endpoint
+	streams    streamIDs
 }
 
-func newDispatcher(s *Settings, k *keeper, c *endpointClient, h *health, logger *slog.Logger) *dispatcher {
+func newDispatcher(s *Settings, k *lockedGate, c *endpointClient, h *health, logger *slog.Logger) *dispatcher {
 	endpoints := make(map[string]Endpoint, len(s.Endpoints))
 	for _, e := range s.Endpoints {
 		endpoints[e.ID] = e
 	}
 	return &dispatcher{
-		settings:  s,
-		keeper:    k,
-		client:    c,
-		health:    h,
-		runs:      newRuns(k),
-		logger:    logger,
-		endpoints: endpoints,
-		streams:   streamIDs{byRequest: make(map[string]string)},
+		settings:   s,
+		lockedGate: k,
+		client:     c,
+		health:     h,
+		runs:       newRuns(k),
+		logger:     logger,
+		endpoints:  endpoints,
+		streams:    streamIDs{byRequest: make(map[string]string)},
 	}
 }
 
@@ -54,7 +54,7 @@
 		slog.String("request_id", d.GetRequestId()), slog.String("workspace", d.GetWorkspace()),
 		slog.String("endpoint", d.GetEndpoint()), slog.Uint64("attempt", uint64(d.GetAttempt())))
 	ctx, span := telemetry.Span(ctx, "agent", attribute.String("endpoint", d.GetEndpoint()))
-	out := &sender{stream: stream, dispatch: d, incarnation: p.keeper.incarnation()}
+	out := &sender{stream: stream, dispatch: d, incarnation: p.lockedGate.incarnation()}
 	err := p.decide(ctx, d, out)
 	telemetry.End(span, err)
 	return err
@@ -62,12 +62,12 @@
 
 func (p *dispatcher) decide(ctx context.Context, d *agentv1.DispatchRequest, out *sender) error {
 	for {
-		verdict := p.keeper.admit(d)
+		verdict := p.lockedGate.admit(d)
 		switch verdict.Decision {
 		case gate.Admit:
 			return p.run(ctx, d, out)
 		case gate.Running:
-			if err := p.keeper.awaitEnd(ctx, d); err != nil {
+			if err := p.lockedGate.awaitEnd(ctx, d); err != nil {
 				return err
 			}
 		case gate.Answered:
@@ -76,7 +76,7 @@
 			return out.broken("an earlier dispatch of this claim may have run", "")
 		default:
 			p.logger.InfoContext(ctx, "refused a dispatch", slog.String("kind", string(verdict.Fault.Kind)), slog.String("reason", verdict.Fault.Message))
-			return out.refused(verdict.Fault, p.keeper.ticket())
+			return out.refused(verdict.Fault, p.lockedGate.ticket())
 		}
 	}
 }
@@ -105,14 +105,14 @@
 	defer cancel()
 	call := &call{dispatcher: p, dispatch: d, out: out}
 	outcome, err := call.run(ctx)
-	p.keeper.finish(d, outcome, call.record.message())
+	p.lockedGate.finish(d, outcome, call.record.message())
 	switch outcome {
 	case gate.Whole:
 		countOutcome("answered")
 		return out.end(call.length)
 	case gate.NotRun:
 		countOutcome("not_run")
-		return out.refused(faultOf(err), p.keeper.ticket())
+		return out.refused(faultOf(err), p.lockedGate.ticket())
 	default:
 		countOutcome("broken")
 		ended := p.endedRun(ctx, d.GetEndpoint())
@@ -128,7 +128,7 @@
 		return ""
 	}
 	metrics.GetOrCreateCounter(`lilackeel_agent_ended_under_call_total{endpoint="` + endpoint + `"}`).Inc()
-	p.keeper.ended(endpoint)
+	p.lockedGate.ended(endpoint)
 	return p.runs.end(endpoint)
 }
 
--- a/agent/doc.go
+++ b/agent/doc.go
@@ -13,9 +13,9 @@
 // one lock. The order in which locks are taken is:
 //
 //  1. orderTarget: one lock per endpoint, held while an order is carried out;
-//  2. keeper: the gate, held for one decision;
+//  2. lockedGate: the gate, held for one decision;
 //  3. announcer: whether the next announcement is a full one;
-//  4. board, loaded, health, streamIDs, controls: held while they are read or changed,
+//  4. reportBuffer, loaded, health, streamIDs, controls: held while they are read or changed,
 //     and nothing else is locked meanwhile.
 //
 // No lock is held while a message is sent to a caller, and only the first is
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -156,7 +156,7 @@
 	})
 	s.until("the agent is ready", func() bool {
 		ready, _ := s.daemon.Ready().Get()
-		return ready && s.daemon.keeper.revision() > 1
+		return ready && s.daemon.lockedGate.revision() > 1
 	})
 	return s
 }
@@ -188,7 +188,7 @@
 // stamped and join without gaps. Each part is shown to seen, if not nil.
 func (s *site) dispatchIn(ctx context.Context, d *agentv1.DispatchRequest, seen func(*agentv1.DispatchResponse)) reply {
 	if d.GetIncarnation() == 0 {
-		d.Incarnation = s.daemon.keeper.incarnation()
+		d.Incarnation = s.daemon.lockedGate.incarnation()
 	}
 	stream, err := s.client.Dispatch(ctx, d)
 	if err != nil {
@@ -204,7 +204,7 @@
 			got.err = err
 			return got
 		}
-		if r.GetRequestId() != d.GetRequestId() || r.GetAttempt() != d.GetAttempt() || r.GetIncarnation() != s.daemon.keeper.incarnation() {
+		if r.GetRequestId() != d.GetRequestId() || r.GetAttempt() != d.GetAttempt() || r.GetIncarnation() != s.daemon.lockedGate.incarnation() {
 			s.t.Errorf("a response without the stamp of its dispatch: %v", r)
 		}
 		got.take(s.t, d, r)
--- a/agent/load_test.go
+++ b/agent/load_test.go
@@ -56,7 +56,7 @@
 // A reader gets the figures of each look once, however often it reads.
 func TestFiguresAreReportedOnce(t *testing.T) {
 	is := is.New(t)
-	b, at := newBoard(), time.Now()
+	b, at := newReportBuffer(), time.Now()
 	look := func(running int32, at time.Time) { b.setLoad(&agentv1.LoadReport{Endpoint: "e", Running: running}, at) }
 	var read position
 	count := func() int {
--- a/agent/keeper.go
+++ b/agent/lockedgate.go
@@ -13,13 +13,13 @@
 	"github.com/lilackeel/lilackeel/ratelimit"
 )
 
-// freshnessSource is what the keeper asks of the feed.
+// freshnessSource is what a lockedGate asks of the feed.
 type freshnessSource interface {
 	Freshness() (revision uint64, at time.Time, ok bool)
 }
 
-// keeper guards the gate: one decision at a time, at the time of the clock.
-type keeper struct {
+// lockedGate guards the gate: one decision at a time, at the time of the clock.
+type lockedGate struct {
 	clock     *clock
 	agent     string
 	freshness freshnessSource
@@ -30,8 +30,8 @@
 	ends map[string]chan struct{}
 }
 
-func newKeeper(s *Settings, i incarnation, c *clock, freshness freshnessSource) *keeper {
-	return &keeper{
+func newLockedGate(s *Settings, i incarnation, c *clock, freshness freshnessSource) *lockedGate {
+	return &lockedGate{
 		clock:     c,
 		agent:     s.Name,
 		freshness: freshness,
@@ -41,13 +41,13 @@
 }
 
 // incarnation never changes, so it needs no lock.
-func (k *keeper) incarnation() uint64 { return k.gate.Incarnation() }
+func (k *lockedGate) incarnation() uint64 { return k.gate.Incarnation() }
 
-func (k *keeper) ticket() int64 { return int64(k.clock.now()) }
+func (k *lockedGate) ticket() int64 { return int64(k.clock.now()) }
 
 // configure puts a configuration in force. Endpoints that the configuration
 // gives to another agent are not served.
-func (k *keeper) configure(view *feed.View) {
+func (k *lockedGate) configure(view *feed.View) {
 	states := make(map[string]fleetv1.EndpointState)
 	for id, e := range view.Endpoints.All() {
 		if e.GetAgent() == k.agent {
@@ -59,7 +59,7 @@
 	k.gate.Configure(view.Revision, states)
 }
 
-func (k *keeper) admit(d *agentv1.DispatchRequest) gate.Verdict {
+func (k *lockedGate) admit(d *agentv1.DispatchRequest) gate.Verdict {
 	revision, at, ok := k.freshness.Freshness()
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -70,10 +70,10 @@
 }
 
 // limits are the rate limits that endpoints name. They have a lock of their own.
-func (k *keeper) limits() *ratelimit.Arbiter { return k.gate.Rates() }
+func (k *lockedGate) limits() *ratelimit.Arbiter { return k.gate.Rates() }
 
 // named takes in what an endpoint has named in its answer to a request that was sent at a time.
-func (k *keeper) named(endpoint string, sent time.Duration, text string) {
+func (k *lockedGate) named(endpoint string, sent time.Duration, text string) {
 	rate, ok := ratelimit.Parse(text)
 	if !ok {
 		return
@@ -85,20 +85,20 @@
 }
 
 // ended notes that an endpoint's process has ended.
-func (k *keeper) ended(endpoint string) {
+func (k *lockedGate) ended(endpoint string) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.gate.Ended(k.clock.now(), endpoint)
 }
 
 // admitPoll reports whether an endpoint may be polled now, and whether it names a rate limit.
-func (k *keeper) admitPoll(endpoint string) (ok, limited bool) {
+func (k *lockedGate) admitPoll(endpoint string) (ok, limited bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.gate.AdmitPoll(k.clock.now(), endpoint)
 }
 
-func (k *keeper) finish(d *agentv1.DispatchRequest, outcome gate.Outcome, answer *controlv1.Answer) {
+func (k *lockedGate) finish(d *agentv1.DispatchRequest, outcome gate.Outcome, answer *controlv1.Answer) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.gate.Finish(k.clock.now(), d, outcome, answer)
@@ -109,7 +109,7 @@
 }
 
 // awaitEnd waits until a running claim has ended, or for ctx.
-func (k *keeper) awaitEnd(ctx context.Context, d *agentv1.DispatchRequest) error {
+func (k *lockedGate) awaitEnd(ctx context.Context, d *agentv1.DispatchRequest) error {
 	end := k.endOf(d)
 	if end == nil {
 		return nil
@@ -123,7 +123,7 @@
 }
 
 // endOf returns a channel that closes when the claim ends; nil if it has.
-func (k *keeper) endOf(d *agentv1.DispatchRequest) <-chan struct{} {
+func (k *lockedGate) endOf(d *agentv1.DispatchRequest) <-chan struct{} {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if !k.gate.Running(d.GetClaimId()) {
@@ -137,61 +137,61 @@
 	return end
 }
 
-func (k *keeper) revoke(r *agentv1.RevokeRequest) *agentv1.RevokeResponse {
+func (k *lockedGate) revoke(r *agentv1.RevokeRequest) *agentv1.RevokeResponse {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.gate.Revoke(k.clock.now(), r)
 }
 
-func (k *keeper) admitOrder(o *agentv1.OrderRequest) error {
+func (k *lockedGate) admitOrder(o *agentv1.OrderRequest) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.gate.AdmitOrder(o)
 }
 
-func (k *keeper) learnFence(token uint64) {
+func (k *lockedGate) learnFence(token uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.gate.LearnFence(token)
 }
 
-func (k *keeper) raiseFence(token uint64) {
+func (k *lockedGate) raiseFence(token uint64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.gate.RaiseFence(token)
 }
 
-func (k *keeper) fence() (highest uint64, known bool) {
+func (k *lockedGate) fence() (highest uint64, known bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.gate.Fence()
 }
 
-func (k *keeper) stop() {
+func (k *lockedGate) stop() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.gate.Stop()
 }
 
-func (k *keeper) drain() gate.Drain {
+func (k *lockedGate) drain() gate.Drain {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.gate.Drain()
 }
 
-func (k *keeper) inFlight() int {
+func (k *lockedGate) inFlight() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.gate.InFlight()
 }
 
-func (k *keeper) inFlightAt(endpoint string) int {
+func (k *lockedGate) inFlightAt(endpoint string) int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.gate.InFlightAt(endpoint)
 }
 
-func (k *keeper) revision() uint64 {
+func (k *lockedGate) revision() uint64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	return k.gate.Revision()
--- a/agent/order.go
+++ b/agent/order.go
@@ -27,12 +27,12 @@
 // orderer carries out orders, one at a time for each endpoint, so that no order
 // with a lower fencing token overtakes one with a higher.
 type orderer struct {
-	settings *Settings
-	keeper   *keeper
-	client   *endpointClient
-	loaded   *loaded
-	logger   *slog.Logger
-	targets  map[string]*orderTarget
+	settings   *Settings
+	lockedGate *lockedGate
+	client     *endpointClient
+	loaded     *loaded
+	logger     *slog.Logger
+	targets    map[string]*orderTarget
 }
 
 // orderTarget is an endpoint that orders go to. Its lock is held while an order
@@ -42,12 +42,12 @@
 	endpoint Endpoint
 }
 
-func newOrderer(s *Settings, k *keeper, c *endpointClient, l *loaded, logger *slog.Logger) *orderer {
+func newOrderer(s *Settings, k *lockedGate, c *endpointClient, l *loaded, logger *slog.Logger) *orderer {
 	targets := make(map[string]*orderTarget, len(s.Endpoints))
 	for _, e := range s.Endpoints {
 		targets[e.ID] = &orderTarget{endpoint: e}
 	}
-	return &orderer{settings: s, keeper: k, client: c, loaded: l, logger: logger, targets: targets}
+	return &orderer{settings: s, lockedGate: k, client: c, loaded: l, logger: logger, targets: targets}
 }
 
 // order carries out an order and reads back what the endpoint has. It goes on
@@ -69,11 +69,11 @@
 func (o *orderer) carryOut(ctx context.Context, request *agentv1.OrderRequest) (*agentv1.OrderResponse, error) {
 	target := o.targets[request.GetEndpoint()]
 	if target == nil {
-		return nil, o.keeper.admitOrder(request)
+		return nil, o.lockedGate.admitOrder(request)
 	}
 	target.Lock()
 	defer target.Unlock()
-	if err := o.keeper.admitOrder(request); err != nil {
+	if err := o.lockedGate.admitOrder(request); err != nil {
 		return nil, err
 	}
 	if target.endpoint.Kind != KindEngine {
@@ -134,9 +134,9 @@
 			"endpoint %q cannot be read back (status %d)", e.ID, status).Because(err)
 	}
 	observed := e.announced(o.settings)
-	observed.Incarnation = o.keeper.incarnation()
+	observed.Incarnation = o.lockedGate.incarnation()
 	observed.State = fleetv1.EndpointState_ENDPOINT_STATE_UNSPECIFIED
 	o.loaded.apply(observed)
-	highest, _ := o.keeper.fence()
+	highest, _ := o.lockedGate.fence()
 	return &agentv1.OrderResponse{Observed: observed, HighestFence: highest}, nil
 }
--- a/agent/poll.go
+++ b/agent/poll.go
@@ -21,14 +21,14 @@
 
 // poller polls the load and the cache events of one endpoint.
 type poller struct {
-	endpoint Endpoint
-	keeper   *keeper
-	client   *endpointClient
-	board    *board
-	loaded   *loaded
-	health   *health
-	logger   *slog.Logger
-	interval time.Duration
+	endpoint     Endpoint
+	lockedGate   *lockedGate
+	client       *endpointClient
+	reportBuffer *reportBuffer
+	loaded       *loaded
+	health       *health
+	logger       *slog.Logger
+	interval     time.Duration
 
 	// run names the run of the engine that events come from. lastSeq is the
 	// number of the last event read of it. seqOffset is added to such numbers, so
@@ -41,7 +41,7 @@
 func (p *poller) loop(ctx context.Context) {
 	for number := 1; ctx.Err() == nil; number++ {
 		p.poll(ctx)
-		if _, limited := p.keeper.limits().Limit(p.endpoint.ID); !limited && number%readBackEvery == 0 {
+		if _, limited := p.lockedGate.limits().Limit(p.endpoint.ID); !limited && number%readBackEvery == 0 {
 			p.readLoaded(ctx)
 		}
 		wait.For(ctx, jitter(p.interval))
@@ -69,7 +69,7 @@
 		p.probe(ctx)
 		return
 	}
-	ok, limited := p.keeper.admitPoll(p.endpoint.ID)
+	ok, limited := p.lockedGate.admitPoll(p.endpoint.ID)
 	if !ok {
 		p.ownLoad()
 		return
@@ -80,10 +80,10 @@
 	p.health.noteCall(p.endpoint.ID, err)
 	switch {
 	case err != nil:
-		p.board.dropLoad(p.endpoint.ID)
+		p.reportBuffer.dropLoad(p.endpoint.ID)
 		return
 	case status == http.StatusOK:
-		p.board.setLoad(p.report(load), asked.Add(-time.Duration(load.AgeMS)*time.Millisecond))
+		p.reportBuffer.setLoad(p.report(load), asked.Add(-time.Duration(load.AgeMS)*time.Millisecond))
 	default:
 		p.ownLoad()
 	}
@@ -103,9 +103,9 @@
 // ownLoad reports the calls that the agent itself has in flight, for endpoints
 // that do not report their load.
 func (p *poller) ownLoad() {
-	p.board.setLoad(&agentv1.LoadReport{
+	p.reportBuffer.setLoad(&agentv1.LoadReport{
 		Endpoint: p.endpoint.ID,
-		Running:  int32(p.keeper.inFlightAt(p.endpoint.ID)),
+		Running:  int32(p.lockedGate.inFlightAt(p.endpoint.ID)),
 	}, time.Now())
 }
 
@@ -135,7 +135,7 @@
 	if err != nil || status != http.StatusOK {
 		return
 	}
-	p.board.addEvents(p.renumber(answer))
+	p.reportBuffer.addEvents(p.renumber(answer))
 }
 
 // renumber renumbers the events of an answer. A new run of the engine begins with
--- a/agent/ranklink.go
+++ b/agent/ranklink.go
@@ -60,7 +60,7 @@
 func (e rankEngines) LoadMap(ctx context.Context, endpoint string, order engineapi.Order) error {
 	err := e.loadOnce(ctx, endpoint, order)
 	if fault.Is(err, fault.Fenced) {
-		e.controls.learnFence(ctx, e.orderer.keeper)
+		e.controls.learnFence(ctx, e.orderer.lockedGate)
 		err = e.loadOnce(ctx, endpoint, order)
 	}
 	return err
@@ -72,13 +72,13 @@
 	target := e.orderer.targets[endpoint]
 	target.Lock()
 	defer target.Unlock()
-	highest, known := e.orderer.keeper.fence()
+	highest, known := e.orderer.lockedGate.fence()
 	if !known {
 		return fault.New(fault.NoQuorum, "the agent has not yet learnt the highest fencing token from a quorum",
 			"wait until control replicas are reachable from the agent")
 	}
 	order.Fence = max(order.Fence, highest)
-	e.orderer.keeper.raiseFence(order.Fence)
+	e.orderer.lockedGate.raiseFence(order.Fence)
 	return e.orderer.post(ctx, target.endpoint, order)
 }
 
--- a/agent/report_test.go
+++ b/agent/report_test.go
@@ -28,9 +28,9 @@
 	is.Equal(len(service.Effects()[0].Body), len(d.Body))
 	is.True(s.dispatch(s.swap("large")).broken.GetMayHaveRun()) // its answer was too large to keep
 
-	const count = 2 * boardWeight / 1000
+	const count = 2 * bufferWeight / 1000
 	for seq := range uint64(count) {
-		s.daemon.service.board.addEvents([]*agentv1.CacheEvent{{Seq: seq, Stored: make([]uint64, 999)}})
+		s.daemon.service.reportBuffer.addEvents([]*agentv1.CacheEvent{{Seq: seq, Stored: make([]uint64, 999)}})
 	}
 	stream := must(s.client.Reports(t.Context(), &agentv1.ReportsRequest{IntervalMs: 20}))
 	first, err := stream.Recv()
@@ -49,9 +49,9 @@
 func TestOrdersAreFencedForEnginesThatDoNotCheck(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t, map[string]http.Handler{"engine": standin.NewEngine(standin.EngineConfig{Model: "draft"})})
-	s.until("the token is known", func() bool { _, known := s.daemon.keeper.fence(); return known })
+	s.until("the token is known", func() bool { _, known := s.daemon.lockedGate.fence(); return known })
 	order := func(fence uint64, version string) (*agentv1.OrderResponse, error) {
-		return s.client.Order(t.Context(), &agentv1.OrderRequest{Endpoint: "engine", Incarnation: s.daemon.keeper.incarnation(),
+		return s.client.Order(t.Context(), &agentv1.OrderRequest{Endpoint: "engine", Incarnation: s.daemon.lockedGate.incarnation(),
 			Fence: fence, Kind: agentv1.OrderKind_ORDER_KIND_LOAD_MODEL, Model: "draft", Version: version})
 	}
 	_, err := order(4, "old")
@@ -62,7 +62,7 @@
 	is.Equal(done.GetHighestFence(), uint64(6))
 	_, err = order(5, "late")
 	is.True(fault.Is(err, fault.Fenced))
-	read, err := s.client.Order(t.Context(), &agentv1.OrderRequest{Endpoint: "engine", Incarnation: s.daemon.keeper.incarnation(), Kind: agentv1.OrderKind_ORDER_KIND_READ_BACK})
+	read, err := s.client.Order(t.Context(), &agentv1.OrderRequest{Endpoint: "engine", Incarnation: s.daemon.lockedGate.incarnation(), Kind: agentv1.OrderKind_ORDER_KIND_READ_BACK})
 	is.NoErr(err)
 	is.Equal(read.GetObserved().GetVersion(), "2")
 	s.until("the announcement says what the engine has", func() bool {
@@ -135,7 +135,7 @@
 	read := func(count int) {
 		for len(events) < count {
 			report := must(stream.Recv())
-			is.Equal(report.GetIncarnation(), s.daemon.keeper.incarnation())
+			is.Equal(report.GetIncarnation(), s.daemon.lockedGate.incarnation())
 			is.True(report.GetTicketNs() > 0)
 			events = append(events, report.GetEvents()...)
 		}
--- a/agent/board.go
+++ b/agent/reportbuffer.go
@@ -11,8 +11,8 @@
 
 // An event's weight is 1 and the number of its blocks.
 const (
-	// boardWeight bounds the cache events that are kept for entries.
-	boardWeight = 256 << 10
+	// bufferWeight bounds the cache events that are kept for entries.
+	bufferWeight = 256 << 10
 	// reportWeight bounds the cache events of one report, to well under the
 	// size that gRPC lets a message have.
 	reportWeight = 64 << 10
@@ -22,8 +22,8 @@
 // the time that the figures are from.
 const sampleTolerance = 10 * time.Millisecond
 
-// board holds the newest load of each endpoint and the recent cache events.
-type board struct {
+// reportBuffer holds the newest load of each endpoint and the recent cache events.
+type reportBuffer struct {
 	mu    sync.Mutex
 	loads map[string]loadSample
 	// samples counts the polls that brought new figures.
@@ -46,9 +46,9 @@
 // the last load sample.
 type position struct{ event, sample uint64 }
 
-func newBoard() *board { return &board{loads: make(map[string]loadSample)} }
+func newReportBuffer() *reportBuffer { return &reportBuffer{loads: make(map[string]loadSample)} }
 
-func (b *board) setLoad(report *agentv1.LoadReport, at time.Time) {
+func (b *reportBuffer) setLoad(report *agentv1.LoadReport, at time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known, ok := b.loads[report.GetEndpoint()]
@@ -60,13 +60,13 @@
 }
 
 // dropLoad forgets the load of an endpoint that cannot be asked.
-func (b *board) dropLoad(endpoint string) {
+func (b *reportBuffer) dropLoad(endpoint string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.loads, endpoint)
 }
 
-func (b *board) addEvents(events []*agentv1.CacheEvent) {
+func (b *reportBuffer) addEvents(events []*agentv1.CacheEvent) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.events = append(b.events, events...)
@@ -74,7 +74,7 @@
 		b.weight += weightOf(e)
 	}
 	excess := 0
-	for ; b.weight > boardWeight; excess++ {
+	for ; b.weight > bufferWeight; excess++ {
 		b.weight -= weightOf(b.events[excess])
 	}
 	clear(b.events[:excess])
@@ -87,7 +87,7 @@
 // report returns the loads and the events that the reader does not have, and the
 // position of the next report. A reader that has fallen behind misses events,
 // which the gap in their numbers shows.
-func (b *board) report(from position, now time.Time) (*agentv1.Report, position) {
+func (b *reportBuffer) report(from position, now time.Time) (*agentv1.Report, position) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	report := &agentv1.Report{}
--- a/agent/runs.go
+++ b/agent/runs.go
@@ -25,7 +25,7 @@
 	ended  bool
 }
 
-func newRuns(k *keeper) *runs {
+func newRuns(k *lockedGate) *runs {
 	return &runs{prefix: fmt.Sprintf("%s/%x", k.agent, k.incarnation()), byEndpoint: map[string]*processRun{}}
 }
 
--- a/agent/service.go
+++ b/agent/service.go
@@ -21,21 +21,21 @@
 // service is the gRPC service of the agent.
 type service struct {
 	agentv1.UnimplementedAgentServer
-	keeper     *keeper
-	dispatcher *dispatcher
-	orderer    *orderer
-	board      *board
-	ranks      *ranks.Ranks
+	lockedGate   *lockedGate
+	dispatcher   *dispatcher
+	orderer      *orderer
+	reportBuffer *reportBuffer
+	ranks        *ranks.Ranks
 	// drained closes when a planned stop has finished all calls.
 	drained chan struct{}
 	// shared is what entries share.
 	shared *sharing.Host
 }
 
-// Tell implements agentv1.AgentServer.
-func (s *service) Tell(_ context.Context, r *agentv1.TellRequest) (*agentv1.TellResponse, error) {
-	s.shared.Tell(r)
-	return &agentv1.TellResponse{}, nil
+// PublishCrashReports implements agentv1.AgentServer.
+func (s *service) PublishCrashReports(_ context.Context, r *agentv1.PublishCrashReportsRequest) (*agentv1.PublishCrashReportsResponse, error) {
+	s.shared.PublishCrashReports(r)
+	return &agentv1.PublishCrashReportsResponse{}, nil
 }
 
 // Permit implements agentv1.AgentServer.
@@ -43,8 +43,8 @@
 	return s.shared.Permit(r), nil
 }
 
-func newService(k *keeper, p *dispatcher, o *orderer, b *board, r *ranks.Ranks) *service {
-	return &service{keeper: k, dispatcher: p, orderer: o, board: b, ranks: r, drained: make(chan struct{}), shared: sharing.NewHost(k.clock.now, k.limits())}
+func newService(k *lockedGate, p *dispatcher, o *orderer, b *reportBuffer, r *ranks.Ranks) *service {
+	return &service{lockedGate: k, dispatcher: p, orderer: o, reportBuffer: b, ranks: r, drained: make(chan struct{}), shared: sharing.NewHost(k.clock.now, k.limits())}
 }
 
 // Dispatch implements agentv1.AgentServer.
@@ -54,7 +54,7 @@
 
 // Revoke implements agentv1.AgentServer.
 func (s *service) Revoke(_ context.Context, r *agentv1.RevokeRequest) (*agentv1.RevokeResponse, error) {
-	return s.keeper.revoke(r), nil
+	return s.lockedGate.revoke(r), nil
 }
 
 // Order implements agentv1.AgentServer.
@@ -75,10 +75,10 @@
 	reader := s.shared.Reader(r)
 	var read position
 	for {
-		report, next := s.board.report(read, time.Now())
+		report, next := s.reportBuffer.report(read, time.Now())
 		read = next
-		report.Incarnation = s.keeper.incarnation()
-		report.TicketNs = s.keeper.ticket()
+		report.Incarnation = s.lockedGate.incarnation()
+		report.TicketNs = s.lockedGate.ticket()
 		reader.Fill(report)
 		if err := stream.Send(report); err != nil {
 			return err
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -18,11 +18,11 @@
 		newClock,
 		newFeed,
 		wire.Bind(new(freshnessSource), new(*feed.Client)),
-		newKeeper,
+		newLockedGate,
 		newEndpointClient,
 		newDispatcher,
 		newOrderer,
-		newBoard,
+		newReportBuffer,
 		newLoaded,
 		newHealth,
 		newPollers,
@@ -33,7 +33,7 @@
 		newControls,
 		newAnnouncer,
 		telemetry.NewReady,
-		wire.Struct(new(Daemon), "settings", "logger", "ready", "keeper", "service", "server",
+		wire.Struct(new(Daemon), "settings", "logger", "ready", "lockedGate", "service", "server",
 			"feed", "announcer", "controls", "client", "pool", "pollers", "ranks"),
 	)
 	return nil, nil
--- a/agent/wire_gen.go
+++ b/agent/wire_gen.go
@@ -22,40 +22,40 @@
 	if err != nil {
 		return nil, err
 	}
-	agentKeeper := newKeeper(settings, agentIncarnation, agentClock, client)
-	agentEndpointClient := newEndpointClient(agentKeeper)
+	agentLockedGate := newLockedGate(settings, agentIncarnation, agentClock, client)
+	agentEndpointClient := newEndpointClient(agentLockedGate)
 	agentHealth := newHealth(logger)
-	agentDispatcher := newDispatcher(settings, agentKeeper, agentEndpointClient, agentHealth, logger)
+	agentDispatcher := newDispatcher(settings, agentLockedGate, agentEndpointClient, agentHealth, logger)
 	agentLoaded := newLoaded()
-	agentOrderer := newOrderer(settings, agentKeeper, agentEndpointClient, agentLoaded, logger)
-	agentBoard := newBoard()
+	agentOrderer := newOrderer(settings, agentLockedGate, agentEndpointClient, agentLoaded, logger)
+	agentReportBuffer := newReportBuffer()
 	pool, err := newPool(settings)
 	if err != nil {
 		return nil, err
 	}
 	agentControls := newControls(settings, pool, logger)
 	ranks := newRanks(settings, agentControls, agentOrderer, logger)
-	agentService := newService(agentKeeper, agentDispatcher, agentOrderer, agentBoard, ranks)
+	agentService := newService(agentLockedGate, agentDispatcher, agentOrderer, agentReportBuffer, ranks)
 	server, err := newServer(settings, agentService)
 	if err != nil {
 		return nil, err
 	}
-	agentAnnouncer := newAnnouncer(settings, agentKeeper, agentControls, agentLoaded, agentHealth, logger)
-	v := newPollers(settings, agentKeeper, agentEndpointClient, agentBoard, agentLoaded, agentHealth, logger)
+	agentAnnouncer := newAnnouncer(settings, agentLockedGate, agentControls, agentLoaded, agentHealth, logger)
+	v := newPollers(settings, agentLockedGate, agentEndpointClient, agentReportBuffer, agentLoaded, agentHealth, logger)
 	daemon := &Daemon{
-		settings:  settings,
-		logger:    logger,
-		ready:     ready,
-		keeper:    agentKeeper,
-		service:   agentService,
-		server:    server,
-		feed:      client,
-		announcer: agentAnnouncer,
-		controls:  agentControls,
-		client:    agentEndpointClient,
-		pool:      pool,
-		pollers:   v,
-		ranks:     ranks,
+		settings:   settings,
+		logger:     logger,
+		ready:      ready,
+		lockedGate: agentLockedGate,
+		service:    agentService,
+		server:     server,
+		feed:       client,
+		announcer:  agentAnnouncer,
+		controls:   agentControls,
+		client:     agentEndpointClient,
+		pool:       pool,
+		pollers:    v,
+		ranks:      ranks,
 	}
 	return daemon, nil
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -185,10 +185,10 @@
 		slog.Duration("ran", x.now()-x.attempt.started), slog.Int("ends", change.Ends), slog.Duration("hold", change.Hold))
 }
 
-// noteWhole notes that an endpoint has run the request to its end. Agents name a run only once
+// noteCompleted notes that an endpoint has run the request to its end. Agents name a run only once
 // it has ended.
-func (x *exchange) noteWhole() {
-	if cleared := x.server.Quarantine.Whole(x.now(), x.begun, x.request.fingerprint, ""); cleared > 0 {
+func (x *exchange) noteCompleted() {
+	if cleared := x.server.Quarantine.Completed(x.now(), x.begun, x.request.fingerprint, ""); cleared > 0 {
 		x.server.Logger.LogAttrs(x.caller, slog.LevelInfo, "cleared a request",
 			slog.String("request_id", x.request.id), slog.Any("fingerprint", x.request.fingerprint), slog.Int("ends", cleared))
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -83,8 +83,8 @@
 	}()
 	defer func() { <-relayed }()
 	go d.tickOutliers(background)
-	countQuarantine(d.configurer.reports.book)
-	go d.configurer.reports.tell(background)
+	countQuarantine(d.configurer.reports.crashes)
+	go d.configurer.reports.publishCrashReports(background)
 	if d.config.Routed {
 		go d.throttle(background)
 	}
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -323,7 +323,7 @@
 func (x *exchange) report() {
 	s, q, v := x.server, x.request, x.verdict
 	if v.Outcome == call.Answered && !v.Replayed {
-		x.noteWhole()
+		x.noteCompleted()
 	}
 	counts := x.machine.Counts()
 	s.metrics.ended(q.kind, v, counts, x.now()-x.begun)
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -21,7 +21,7 @@
 	}
 	p.mu.Unlock()
 	now := received.Sub(processStart)
-	p.takeSightings(now, r.GetSightings())
+	p.mergeCrashReports(now, r.GetCrashReports())
 	p.limits.learn(now, r.GetRateLimits())
 	view := p.table.Snapshot()
 	for _, l := range r.GetLoads() {
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -52,7 +52,7 @@
 // newRouted returns the server of the published site's routes.
 func newRouted(
 	cfg Config, table *endpoint.Table, loads *load.Tracker, outliers *outlier.Detector, picker *pick.Picker,
-	admissions *Admissions, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, book *quarantine.Book, permits *Permits, logger *slog.Logger,
+	admissions *Admissions, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *Permits, logger *slog.Logger,
 ) *routed.Server {
 	policy := cfg.policy()
 	headers := cfg.Headers
@@ -67,7 +67,7 @@
 	}
 	parts := routed.Parts{
 		Admitter: admissions, Picker: picker, Endpoints: table, Loads: loads, Outliers: outliers,
-		Reach: reached, Groups: groups, Client: client, Quarantine: book, RateLimits: permits, Budget: call.NewBudget(cfg.budget()), Logger: logger,
+		Reach: reached, Groups: groups, Client: client, Quarantine: crashes, RateLimits: permits, Budget: call.NewBudget(cfg.budget()), Logger: logger,
 	}
 	return routed.NewServer(settings, parts, func() time.Duration { return time.Since(processStart) })
 }
--- a/entry/tell_test.go
+++ b/entry/publish_test.go
@@ -24,22 +24,22 @@
 	"github.com/lilackeel/lilackeel/sharing"
 )
 
-// noticeHost is the part of a host that passes on what entries tell.
-type noticeHost struct {
+// sharingHost is the part of a host that entries share.
+type sharingHost struct {
 	agentv1.UnimplementedAgentServer
 	shared *sharing.Host
 }
 
-func (h *noticeHost) Tell(_ context.Context, r *agentv1.TellRequest) (*agentv1.TellResponse, error) {
-	h.shared.Tell(r)
-	return &agentv1.TellResponse{}, nil
+func (h *sharingHost) PublishCrashReports(_ context.Context, r *agentv1.PublishCrashReportsRequest) (*agentv1.PublishCrashReportsResponse, error) {
+	h.shared.PublishCrashReports(r)
+	return &agentv1.PublishCrashReportsResponse{}, nil
 }
 
-func (h *noticeHost) Permit(_ context.Context, r *agentv1.PermitRequest) (*agentv1.PermitResponse, error) {
+func (h *sharingHost) Permit(_ context.Context, r *agentv1.PermitRequest) (*agentv1.PermitResponse, error) {
 	return h.shared.Permit(r), nil
 }
 
-func (h *noticeHost) Reports(r *agentv1.ReportsRequest, stream grpc.ServerStreamingServer[agentv1.Report]) error {
+func (h *sharingHost) Reports(r *agentv1.ReportsRequest, stream grpc.ServerStreamingServer[agentv1.Report]) error {
 	reader := h.shared.Reader(r)
 	for stream.Context().Err() == nil {
 		report := &agentv1.Report{}
@@ -57,72 +57,72 @@
 	return sharing.NewHost(func() time.Duration { return time.Since(start) }, ratelimit.NewArbiter())
 }
 
-// startNoticeHost starts a host at an address, which it returns, and a way to end it.
-func startNoticeHost(t *testing.T, addr string) (at string, end func()) {
+// startSharingHost starts a host at an address, which it returns, and a way to end it.
+func startSharingHost(t *testing.T, addr string) (at string, end func()) {
 	t.Helper()
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := grpc.NewServer()
-	agentv1.RegisterAgentServer(server, &noticeHost{shared: newSharedHost()})
+	agentv1.RegisterAgentServer(server, &sharingHost{shared: newSharedHost()})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(server.Stop)
 	return listener.Addr().String(), server.Stop
 }
 
-// startTelling starts the part of an entry that follows hosts. It has no control replicas.
-func startTelling(t *testing.T, hosts ...string) *quarantine.Book {
+// startPublishing starts the part of an entry that follows hosts. It has no control replicas.
+func startPublishing(t *testing.T, hosts ...string) *quarantine.Tracker {
 	t.Helper()
-	book, table := quarantine.NewBook(), endpoint.NewTable()
+	crashes, table := quarantine.NewTracker(), endpoint.NewTable()
 	pool := link.NewPool(grpc.WithTransportCredentials(insecure.NewCredentials()))
 	t.Cleanup(func() { _ = pool.Close() })
 	reports := NewReports(Config{ReportInterval: 10 * time.Millisecond}, pool, table, load.New(load.Config{}, table),
-		prefix.New(prefix.Config{}), outlier.New(outlier.Config{}), lockstep.New(), unconfirmed{}, book, NewRateLimits(table, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+		prefix.New(prefix.Config{}), outlier.New(outlier.Config{}), lockstep.New(), unconfirmed{}, crashes, NewRateLimits(table, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	names := map[string]string{}
 	for _, host := range hosts {
 		names[host] = host
 	}
 	reports.Follow(t.Context(), names)
-	go reports.tell(t.Context())
-	return book
+	go reports.publishCrashReports(t.Context())
+	return crashes
 }
 
-func awaitHeld(t *testing.T, book *quarantine.Book, f call.Fingerprint, held bool) {
+func awaitHeld(t *testing.T, crashes *quarantine.Tracker, f call.Fingerprint, held bool) {
 	t.Helper()
-	for end := time.Now().Add(20 * time.Second); (book.Held(time.Since(processStart), f) > 0) != held; time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(20 * time.Second); (crashes.Held(time.Since(processStart), f) > 0) != held; time.Sleep(time.Millisecond) {
 		if time.Now().After(end) {
 			t.Fatalf("held is still %v", !held)
 		}
 	}
 }
 
-// TestEveryEntryKeepsARequestFromEndpoints has three ends sighted at three entries, of which
+// TestEveryEntryKeepsARequestFromEndpoints has three crashes reported by three entries, of which
 // none has seen more than one. There are no control replicas, and two of the four hosts are
 // not there.
 func TestEveryEntryKeepsARequestFromEndpoints(t *testing.T) {
 	is := is.New(t)
-	one, _ := startNoticeHost(t, "127.0.0.1:0")
-	two, end := startNoticeHost(t, "127.0.0.1:0")
-	gone, stop := startNoticeHost(t, "127.0.0.1:0")
+	one, _ := startSharingHost(t, "127.0.0.1:0")
+	two, end := startSharingHost(t, "127.0.0.1:0")
+	gone, stop := startSharingHost(t, "127.0.0.1:0")
 	stop()
-	entries := []*quarantine.Book{startTelling(t, one, two, gone), startTelling(t, one, two, gone), startTelling(t, one, two, gone)}
+	entries := []*quarantine.Tracker{startPublishing(t, one, two, gone), startPublishing(t, one, two, gone), startPublishing(t, one, two, gone)}
 	bad := call.FingerprintOf("crew", "POST", "/draft", []byte("ends what runs it"))
-	for i, book := range entries {
-		book.Ended(time.Since(processStart), bad, "e"+string(rune('1'+i)))
+	for i, crashes := range entries {
+		crashes.Ended(time.Since(processStart), bad, "e"+string(rune('1'+i)))
 	}
-	for _, book := range entries {
-		awaitHeld(t, book, bad, true)
+	for _, crashes := range entries {
+		awaitHeld(t, crashes, bad, true)
 	}
 	// An entry that has just started hears of it from a host.
-	awaitHeld(t, startTelling(t, one), bad, true)
+	awaitHeld(t, startPublishing(t, one), bad, true)
 	// A host that has started anew hears of it from the entries.
 	end()
-	_, _ = startNoticeHost(t, two)
-	awaitHeld(t, startTelling(t, two), bad, true)
+	_, _ = startSharingHost(t, two)
+	awaitHeld(t, startPublishing(t, two), bad, true)
 	// One entry finds out that it was a mistake.
-	is.Equal(entries[0].Whole(time.Since(processStart), time.Since(processStart), bad, "e7"), 3)
-	for _, book := range entries {
-		awaitHeld(t, book, bad, false)
+	is.Equal(entries[0].Completed(time.Since(processStart), time.Since(processStart), bad, "e7"), 3)
+	for _, crashes := range entries {
+		awaitHeld(t, crashes, bad, false)
 	}
 }
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -49,13 +49,7 @@
 	return m
 }
 
-// TestARequestThatEndsItsEnginesIsKeptFromThem sends the same request ten times to engines
-// behind agents, of which it ends each that begins to run it.
-//
-// Seen where engines are called directly: a request under which three engines had ended was
-// sent to engines five times more. The way through agents had no memory of it either: only
-// the ids of requests were known, and each comes under another one. Without the checks in
-// Server.run and exchange.pick this ends 10 to 30.
+// Guards against a request that is sent to engine after engine although those that ran it ended.
 func TestARequestThatEndsItsEnginesIsKeptFromThem(t *testing.T) {
 	chat := func(content string) string {
 		return `{"model":"draft","messages":[{"role":"user","content":"` + content + `"}]}`
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -59,7 +59,7 @@
 		serving(&fleetv1.Endpoint{Id: fmt.Sprint("e", i), Pool: "pool", Addr: strings.TrimPrefix(back.URL, "http://"), Slots: 64})
 	}
 	for i := range hosts {
-		addr, end := startNoticeHost(t, "127.0.0.1:0")
+		addr, end := startSharingHost(t, "127.0.0.1:0")
 		f.hosts, f.ends = append(f.hosts, addr), append(f.ends, end)
 		serving(&fleetv1.Endpoint{Id: fmt.Sprint("rank-", i), Pool: "ranks", Role: endpoint.RoleRank, Agent: fmt.Sprint("host-", i), AgentAddr: addr})
 	}
@@ -76,7 +76,7 @@
 // restartHosts starts the first hosts again, without memory.
 func (f *limitedFleet) restartHosts(count int) {
 	for i := range count {
-		_, f.ends[i] = startNoticeHost(f.t, f.hosts[i])
+		_, f.ends[i] = startSharingHost(f.t, f.hosts[i])
 	}
 }
 
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -58,7 +58,7 @@
 	outliers  *outlier.Detector
 	groups    *lockstep.Tracker
 	freshness FreshnessSource
-	book      *quarantine.Book
+	crashes   *quarantine.Tracker
 	limits    *RateLimits
 	logger    *slog.Logger
 
@@ -73,9 +73,9 @@
 }
 
 // NewReports returns Reports that follow no agent yet.
-func NewReports(cfg Config, pool *link.Pool, table *endpoint.Table, loads *load.Tracker, index *prefix.Index, outliers *outlier.Detector, groups *lockstep.Tracker, freshness FreshnessSource, book *quarantine.Book, limits *RateLimits, logger *slog.Logger) *Reports {
+func NewReports(cfg Config, pool *link.Pool, table *endpoint.Table, loads *load.Tracker, index *prefix.Index, outliers *outlier.Detector, groups *lockstep.Tracker, freshness FreshnessSource, crashes *quarantine.Tracker, limits *RateLimits, logger *slog.Logger) *Reports {
 	return &Reports{
-		config: cfg, pool: pool, table: table, loads: loads, index: index, outliers: outliers, groups: groups, freshness: freshness, book: book, limits: limits, logger: logger,
+		config: cfg, pool: pool, table: table, loads: loads, index: index, outliers: outliers, groups: groups, freshness: freshness, crashes: crashes, limits: limits, logger: logger,
 		readers: map[string]int{}, engines: map[string][]string{}, tickets: map[string]ticket{}, stops: map[string]context.CancelFunc{}, names: map[string]string{},
 	}
 }
@@ -133,7 +133,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stream, err := agentv1.NewAgentClient(connection).Reports(ctx, &agentv1.ReportsRequest{
-		Entry: p.config.Name, IntervalMs: p.config.ReportInterval.Milliseconds(), Sightings: p.known(), RateLimits: p.limits.known(),
+		Entry: p.config.Name, IntervalMs: p.config.ReportInterval.Milliseconds(), CrashReports: p.known(), RateLimits: p.limits.known(),
 	})
 	if err != nil {
 		return false, err
--- a/entry/server.go
+++ b/entry/server.go
@@ -32,7 +32,7 @@
 	Claims    Claims
 	Knowledge Knowledge
 	// Quarantine knows the requests under which endpoints have ended.
-	Quarantine *quarantine.Book
+	Quarantine *quarantine.Tracker
 	RateLimits *RateLimits
 	Logger     *slog.Logger
 }
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -32,9 +32,9 @@
 	claims := NewClaims(cfg, pool)
 	lockstepTracker := newGroups()
 	client := newFeed(cfg, v, logger)
-	book := quarantine.NewBook()
+	quarantineTracker := quarantine.NewTracker()
 	rateLimits := NewRateLimits(table, logger)
-	reports := NewReports(cfg, pool, table, tracker, index, detector, lockstepTracker, client, book, rateLimits, logger)
+	reports := NewReports(cfg, pool, table, tracker, index, detector, lockstepTracker, client, quarantineTracker, rateLimits, logger)
 	parts := Parts{
 		Directory:  entryDirectory,
 		Admitter:   admissions,
@@ -45,7 +45,7 @@
 		Agents:     agents,
 		Claims:     claims,
 		Knowledge:  reports,
-		Quarantine: book,
+		Quarantine: quarantineTracker,
 		RateLimits: rateLimits,
 		Logger:     logger,
 	}
@@ -53,7 +53,7 @@
 	reachTracker := newReach()
 	directClient := newDirectClient()
 	permits := NewPermits(cfg, rateLimits, reports, pool)
-	routedServer := newRouted(cfg, table, tracker, detector, picker, admissions, reachTracker, lockstepTracker, directClient, book, permits, logger)
+	routedServer := newRouted(cfg, table, tracker, detector, picker, admissions, reachTracker, lockstepTracker, directClient, quarantineTracker, permits, logger)
 	entryRelay, err := newRelay(cfg, client, logger)
 	if err != nil {
 		return nil, err
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -14,25 +14,25 @@
 	body := make([]byte, 4<<10)
 	for _, known := range []int{0, maxRequests} {
 		b.Run(strconv.Itoa(known), func(b *testing.B) {
-			book := NewBook()
+			tracker := NewTracker()
 			for i := range known {
-				book.Ended(time.Second, named(strconv.Itoa(i)), "e"+strconv.Itoa(i/10))
+				tracker.Ended(time.Second, named(strconv.Itoa(i)), "e"+strconv.Itoa(i/10))
 			}
 			for b.Loop() {
 				f := call.FingerprintOf("crew", "POST", "/draft", body)
-				book.Held(time.Second, f)
-				book.Whole(time.Second, time.Second, f, "engine/1")
+				tracker.Held(time.Second, f)
+				tracker.Completed(time.Second, time.Second, f, "engine/1")
 			}
 		})
 	}
 }
 
-// BenchmarkSighting is what one end under a request costs where as many are remembered as may be.
-func BenchmarkSighting(b *testing.B) {
-	book := NewBook()
+// BenchmarkCrashReport is what one end under a request costs where as many are remembered as may be.
+func BenchmarkCrashReport(b *testing.B) {
+	tracker := NewTracker()
 	i := 0
 	for b.Loop() {
 		i++
-		book.Ended(time.Second, named(strconv.Itoa(i)), "e"+strconv.Itoa(i/10))
+		tracker.Ended(time.Second, named(strconv.Itoa(i)), "e"+strconv.Itoa(i/10))
 	}
 }
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -3,18 +3,18 @@
 //
 // The same request comes again under other ids, from a caller that tries again, at any entry.
 // What it did before is known by its fingerprint. When a process ends, each request that it
-// was running is sighted there: the one that ended it, and those that were merely there. One
-// sighting proves nothing, so the requests are told apart by what they do elsewhere:
+// was running becomes a suspect: the one that ended it, and those that were in flight with it.
+// One crash proves nothing, so that suspects are judged by what else they do:
 //
-//   - a request that has run to its end anywhere is cleared of all that was sighted before;
-//   - an end is laid at the door of the one that has ended more processes, if that one is held;
-//   - where processes end for other reasons, more ends are asked for before a request is held.
+//   - a request that completes anywhere is exonerated of all its crashes so far;
+//   - a crash is attributed to the suspect with the most crashes, if that one is held;
+//   - where processes end for other reasons, a request is held after more crashes.
 //
 // A request that remains is held: refused without being run, for a time that grows with each
 // further end. After that it may run again, so that a mistake ends.
 //
-// Entries tell what they sight to some of the hosts whose reports all entries read (Board), and
-// take in what those say (Book.Take). Nothing of it passes the control replicas.
+// Entries publish their crash reports at some of the hosts whose load reports all entries read
+// (Registry), and merge those of others (Tracker.Merge). The control replicas have no part in it.
 //
 // All times are durations since an arbitrary start, monotonic. Nothing here blocks.
 package quarantine
@@ -40,21 +40,21 @@
 	firstHold   = time.Minute
 	holdGrowth  = 4
 	longestHold = time.Hour
-	// memory is how long a sighting counts at least.
+	// memory is how long a crash report counts at least.
 	memory = 10 * time.Minute
 	// maxRequests bounds the requests that are remembered, maxRuns the runs of each.
 	maxRequests = 1024
 	maxRuns     = 12
 )
 
-// Sighting says that a run of an endpoint's process has ended under a request.
-type Sighting struct {
+// CrashReport says that a run of an endpoint's process has ended under a request.
+type CrashReport struct {
 	Request call.Fingerprint
 	// Run is RunOf the run's name.
 	Run uint64
 	// At is when the process ended.
 	At time.Duration
-	// Cleared is true once the request has run to its end elsewhere.
+	// Cleared is true once the request has been exonerated of this crash.
 	Cleared bool
 }
 
--- a/quarantine/forget.go
+++ b/quarantine/forget.go
@@ -6,21 +6,20 @@
 	"github.com/lilackeel/lilackeel/call"
 )
 
-// Forget drops the requests of which nothing has been sighted for long. It is to be called
-// now and then.
-func (b *Book) Forget(now time.Duration) {
-	b.own.Forget(now)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for f, r := range b.requests {
+// Forget evicts the requests without a recent crash. It is to be called now and then.
+func (t *Tracker) Forget(now time.Duration) {
+	t.registry.Forget(now)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for f, r := range t.requests {
 		if r.stale(now) {
-			b.drop(f)
+			t.drop(f)
 		}
 	}
 }
 
-// stale reports whether nothing has been sighted of the request for long: for longer than it
-// was held last, so that one which ends processes at long intervals is not begun with anew.
+// stale reports whether the request has had no crash for longer than memory and twice its last
+// hold, so that one which ends processes at long intervals stays known.
 func (r *record) stale(now time.Duration) bool {
 	newest := r.newest()
 	hold := max(r.until-newest, 0)
@@ -28,19 +27,19 @@
 }
 
 // makeRoom drops a request if there is no room for one more: the one with the fewest ends and,
-// of these, the one sighted the longest ago. The lock is held.
-func (b *Book) makeRoom() {
-	if len(b.requests) < maxRequests {
+// of these, the one with the oldest crash. The lock is held.
+func (t *Tracker) makeRoom() {
+	if len(t.requests) < maxRequests {
 		return
 	}
 	var least call.Fingerprint
 	var worst *record
-	for f, r := range b.requests {
+	for f, r := range t.requests {
 		if worst == nil || less(r, worst) {
 			least, worst = f, r
 		}
 	}
-	b.drop(least)
+	t.drop(least)
 }
 
 func less(a, b *record) bool {
@@ -51,26 +50,25 @@
 }
 
 // drop forgets a request; the lock is held.
-func (b *Book) drop(f call.Fingerprint) {
-	for run := range b.requests[f].ends {
-		b.forgetRun(f, run)
+func (t *Tracker) drop(f call.Fingerprint) {
+	for run := range t.requests[f].ends {
+		t.forgetRun(f, run)
 	}
-	delete(b.requests, f)
-	delete(b.proven, f)
-	b.known.Store(int64(len(b.requests)))
+	delete(t.requests, f)
+	delete(t.confirmed, f)
+	t.known.Store(int64(len(t.requests)))
 }
 
-// forgetRun forgets that a request was sighted at the end of a run; zero stands for none. The
-// lock is held.
-func (b *Book) forgetRun(f call.Fingerprint, run uint64) {
+// forgetRun forgets the crash of a run under a request; zero stands for none. The lock is held.
+func (t *Tracker) forgetRun(f call.Fingerprint, run uint64) {
 	if run == 0 {
 		return
 	}
-	r := b.requests[f]
+	r := t.requests[f]
 	delete(r.ends, run)
 	delete(r.cleared, run)
-	delete(b.runs[run], f)
-	if len(b.runs[run]) == 0 {
-		delete(b.runs, run)
+	delete(t.runs[run], f)
+	if len(t.runs[run]) == 0 {
+		delete(t.runs, run)
 	}
 }
--- a/quarantine/refusal.go
+++ b/quarantine/refusal.go
@@ -8,8 +8,8 @@
 )
 
 // Refusal returns the fault of a request that is held now, nil for one that may run.
-func (b *Book) Refusal(now time.Duration, f call.Fingerprint) *fault.Error {
-	hold := b.Held(now, f)
+func (t *Tracker) Refusal(now time.Duration, f call.Fingerprint) *fault.Error {
+	hold := t.Held(now, f)
 	if hold <= 0 {
 		return nil
 	}
--- a/quarantine/book_test.go
+++ b/quarantine/tracker_test.go
@@ -12,11 +12,11 @@
 
 func named(name string) call.Fingerprint { return call.FingerprintOf("crew", "POST", "/"+name, nil) }
 
-// played is a book in which enough has run well that ends are rare.
-func played(now time.Duration) *Book {
-	b := NewBook()
+// played is a tracker that has seen so many requests complete that crashes are rare.
+func played(now time.Duration) *Tracker {
+	b := NewTracker()
 	for range 1000 {
-		b.Whole(now, now, named("good"), "runs on")
+		b.Completed(now, now, named("good"), "runs on")
 	}
 	return b
 }
@@ -25,7 +25,7 @@
 	is := is.New(t)
 	b, bad := played(0), named("bad")
 	is.Equal(b.Ended(1*time.Second, bad, "e1"), Change{Ends: 1})
-	is.Equal(b.Ended(1*time.Second, bad, "e1"), Change{Ends: 1}) // one end, told twice
+	is.Equal(b.Ended(1*time.Second, bad, "e1"), Change{Ends: 1}) // one crash, reported twice
 	is.Equal(b.Ended(2*time.Second, bad, "e2"), Change{Ends: 2})
 	is.Equal(b.Ended(3*time.Second, bad, "e3"), Change{Ends: 3, Hold: firstHold})
 	is.Equal(b.Held(13*time.Second, bad), firstHold-10*time.Second)
@@ -41,13 +41,13 @@
 	for i := range 3 {
 		b.Ended(time.Second, unlucky, "e"+strconv.Itoa(i))
 	}
-	told, position := b.Own().Since(0)
-	is.Equal(other.Take(time.Second, told), []call.Fingerprint{unlucky})
+	reports, position := b.Published().Since(0)
+	is.Equal(other.Merge(time.Second, reports), []call.Fingerprint{unlucky})
 	is.True(other.Held(2*time.Second, unlucky) > 0)
-	is.Equal(b.Whole(3*time.Second, 3*time.Second, unlucky, "e7"), 3)
+	is.Equal(b.Completed(3*time.Second, 3*time.Second, unlucky, "e7"), 3)
 	is.Equal(b.Held(3*time.Second, unlucky), time.Duration(0))
-	told, _ = b.Own().Since(position)
-	other.Take(3*time.Second, told)
+	reports, _ = b.Published().Since(position)
+	other.Merge(3*time.Second, reports)
 	is.Equal(other.Held(3*time.Second, unlucky), time.Duration(0)) // at the other entry too
 	is.Equal(b.Ended(4*time.Second, unlucky, "e9").Ends, 1)        // counted from anew
 }
@@ -81,12 +81,12 @@
 // whatever they are.
 func TestMoreEndsAreNeededWhereProcessesEndAnyway(t *testing.T) {
 	is := is.New(t)
-	b, run := NewBook(), 0
+	b, run := NewTracker(), 0
 	for i := range 300 {
 		run++
 		b.Ended(time.Second, named("r"+strconv.Itoa(i)), "e"+strconv.Itoa(run))
-		b.Whole(time.Second, time.Second, named("s"+strconv.Itoa(i)), "runs on")
-		b.Whole(time.Second, time.Second, named("t"+strconv.Itoa(i)), "runs on")
+		b.Completed(time.Second, time.Second, named("s"+strconv.Itoa(i)), "runs on")
+		b.Completed(time.Second, time.Second, named("t"+strconv.Itoa(i)), "runs on")
 	}
 	unlucky := named("unlucky")
 	for i := range 3 {
@@ -99,7 +99,7 @@
 
 func TestTheBookIsBoundedAndForgets(t *testing.T) {
 	is := is.New(t)
-	b, bad := NewBook(), named("bad")
+	b, bad := NewTracker(), named("bad")
 	for _, run := range []string{"e1", "e2", "e3"} {
 		b.Ended(0, bad, run)
 	}
@@ -112,25 +112,25 @@
 	is.True(b.Held(time.Second, bad) > 0) // what matters stays
 	is.True(len(b.requests[bad].ends) <= maxRuns)
 	is.True(len(b.runs) <= maxRequests*maxRuns)
-	is.True(len(b.own.posted) <= maxPosted && len(b.own.present) <= maxPosted)
+	is.True(len(b.registry.stored) <= maxReports && len(b.registry.present) <= maxReports)
 	b.Forget(3 * longestHold)
 	requests, _ = b.Len(3 * longestHold)
 	is.Equal(requests, 0)
 	is.Equal(len(b.runs), 0)
-	is.Equal(len(b.own.posted)+len(b.own.present), 0)
+	is.Equal(len(b.registry.stored)+len(b.registry.present), 0)
 }
 
 func TestReadersOfABoardGetEverythingOnce(t *testing.T) {
 	is := is.New(t)
-	board := NewBoard()
+	registry := NewRegistry()
 	for i := range 3 * maxRead {
-		board.Add(Sighting{Request: named(strconv.Itoa(i)), Run: 1})
-		board.Add(Sighting{Request: named(strconv.Itoa(i)), Run: 1}) // told by a second entry
+		registry.Add(CrashReport{Request: named(strconv.Itoa(i)), Run: 1})
+		registry.Add(CrashReport{Request: named(strconv.Itoa(i)), Run: 1}) // reported by a second entry
 	}
 	seen := map[call.Fingerprint]int{}
 	position := uint64(0)
 	for {
-		found, next := board.Since(position)
+		found, next := registry.Since(position)
 		is.True(len(found) <= maxRead)
 		if len(found) == 0 {
 			break
@@ -144,12 +144,12 @@
 	for _, times := range seen {
 		is.Equal(times, 1)
 	}
-	// A clearing is told, and what it clears of is not told any more.
-	board.Add(Sighting{Request: named("0"), Run: 1, Cleared: true})
-	board.Add(Sighting{Request: named("0"), Run: 1})
-	found, _ := board.Since(position)
-	is.Equal(found, []Sighting{{Request: named("0"), Run: 1, Cleared: true}})
-	is.Equal(len(board.posted), 3*maxRead)
+	// A cleared report is read, and the one that it clears is not read any more.
+	registry.Add(CrashReport{Request: named("0"), Run: 1, Cleared: true})
+	registry.Add(CrashReport{Request: named("0"), Run: 1})
+	found, _ := registry.Since(position)
+	is.Equal(found, []CrashReport{{Request: named("0"), Run: 1, Cleared: true}})
+	is.Equal(len(registry.stored), 3*maxRead)
 }
 
 // TestAnEndpointThatAnswersHasNotEnded has an endpoint that refused a connection while it was
@@ -161,8 +161,8 @@
 		b.Ended(time.Second, unlucky, "e"+strconv.Itoa(i))
 	}
 	is.True(b.Held(time.Second, unlucky) > 0)
-	b.Whole(2*time.Second, 500*time.Millisecond, named("sent before"), "e1")
+	b.Completed(2*time.Second, 500*time.Millisecond, named("sent before"), "e1")
 	is.True(b.Held(2*time.Second, unlucky) > 0) // the answer was on its way
-	b.Whole(2*time.Second, 1500*time.Millisecond, named("sent after"), "e1")
+	b.Completed(2*time.Second, 1500*time.Millisecond, named("sent after"), "e1")
 	is.Equal(b.Held(2*time.Second, unlucky), time.Duration(0))
 }
--- a/quarantine/world_test.go
+++ b/quarantine/world_test.go
@@ -12,16 +12,16 @@
 	"github.com/lilackeel/lilackeel/call"
 )
 
-// world plays entries before endpoints in virtual time. Each entry decides by its own book and
-// hears of what others sight a moment later, through a board.
+// world plays entries before endpoints in virtual time. Each entry decides by its own tracker
+// and reads the reports of the others a moment later, through a registry.
 type world struct {
 	rng     *rand.Rand
 	now     time.Duration
-	entries []*Book
-	// posts are sightings on their way to all entries, with the time of their arrival.
-	posts     []arrival
-	positions []uint64
-	engines   []*engine
+	entries []*Tracker
+	// publications are reports on their way to all entries, with the time of their arrival.
+	publications []arrival
+	positions    []uint64
+	engines      []*engine
 	// sentLate counts what was sent of the bad request later than grace after its third end.
 	ends, sentLate int
 	third          time.Duration
@@ -31,8 +31,8 @@
 }
 
 type arrival struct {
-	at        time.Duration
-	sightings []Sighting
+	at      time.Duration
+	reports []CrashReport
 }
 
 type engine struct {
@@ -56,8 +56,8 @@
 	worldStep = 50 * time.Millisecond
 	// runTime is how long a good request runs, badTime how long a bad one until the end.
 	runTime, badTime = time.Second, 100 * time.Millisecond
-	// downTime is how long an endpoint is away, tellTime how long a sighting is on its way.
-	downTime, tellTime = 3 * time.Second, 300 * time.Millisecond
+	// downTime is how long an endpoint is away, publishTime how long a report is on its way.
+	downTime, publishTime = 3 * time.Second, 300 * time.Millisecond
 	// grace is the time after the third end from which on what is sent is counted.
 	grace = 3 * time.Second
 )
@@ -65,7 +65,7 @@
 func newWorld(seed uint64, entries, engines int) *world {
 	w := &world{badChance: 1, rng: rand.New(rand.NewPCG(seed, 1)), positions: make([]uint64, entries)}
 	for range entries {
-		w.entries = append(w.entries, NewBook())
+		w.entries = append(w.entries, NewTracker())
 	}
 	for range engines {
 		w.engines = append(w.engines, &engine{})
@@ -90,7 +90,7 @@
 			w.ask(&job{fingerprint: bad, bad: true, asks: 2})
 		}
 		w.pass(endChance)
-		w.tell()
+		w.publish()
 	}
 }
 
@@ -141,7 +141,7 @@
 				left = append(left, j)
 			default:
 				w.served++
-				w.entries[j.entry].Whole(w.now, j.sent, j.fingerprint, j.name)
+				w.entries[j.entry].Completed(w.now, j.sent, j.fingerprint, j.name)
 			}
 		}
 		e.calls = left
@@ -173,19 +173,19 @@
 	}
 }
 
-// tell passes on what was sighted.
-func (w *world) tell() {
-	for i, book := range w.entries {
-		var found []Sighting
-		if found, w.positions[i] = book.Own().Since(w.positions[i]); len(found) > 0 {
-			w.posts = append(w.posts, arrival{w.now + tellTime, found})
+// publish passes crash reports on.
+func (w *world) publish() {
+	for i, tracker := range w.entries {
+		var found []CrashReport
+		if found, w.positions[i] = tracker.Published().Since(w.positions[i]); len(found) > 0 {
+			w.publications = append(w.publications, arrival{w.now + publishTime, found})
 		}
 	}
-	for len(w.posts) > 0 && w.posts[0].at <= w.now {
-		for _, book := range w.entries {
-			book.Take(w.now, w.posts[0].sightings)
+	for len(w.publications) > 0 && w.publications[0].at <= w.now {
+		for _, tracker := range w.entries {
+			tracker.Merge(w.now, w.publications[0].reports)
 		}
-		w.posts = w.posts[1:]
+		w.publications = w.publications[1:]
 	}
 }
 
--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -125,10 +125,10 @@
 	shared *sharing.Host
 }
 
-// Tell implements agentv1.AgentServer.
-func (s *service) Tell(_ context.Context, r *agentv1.TellRequest) (*agentv1.TellResponse, error) {
-	s.shared.Tell(r)
-	return &agentv1.TellResponse{}, nil
+// PublishCrashReports implements agentv1.AgentServer.
+func (s *service) PublishCrashReports(_ context.Context, r *agentv1.PublishCrashReportsRequest) (*agentv1.PublishCrashReportsResponse, error) {
+	s.shared.PublishCrashReports(r)
+	return &agentv1.PublishCrashReportsResponse{}, nil
 }
 
 // Permit implements agentv1.AgentServer.
--- a/routed/attempt.go
+++ b/routed/attempt.go
@@ -70,10 +70,10 @@
 		slog.Duration("ran", s.clock()-a.started), slog.Int("ends", change.Ends), slog.Duration("hold", change.Hold))
 }
 
-// noteWhole notes that the endpoint has run the request to its end.
-func (a *attempt) noteWhole() {
+// noteCompleted notes that the endpoint has run the request to its end.
+func (a *attempt) noteCompleted() {
 	s := a.server
-	if cleared := s.Quarantine.Whole(s.clock(), a.started, a.request.fingerprint, a.target.Run()); cleared > 0 {
+	if cleared := s.Quarantine.Completed(s.clock(), a.started, a.request.fingerprint, a.target.Run()); cleared > 0 {
 		s.Logger.LogAttrs(a.caller, slog.LevelInfo, "cleared a request",
 			slog.String("request_id", a.request.id), slog.Any("fingerprint", a.request.fingerprint), slog.Int("ends", cleared))
 	}
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -105,7 +105,7 @@
 		return a.long(r, held)
 	}
 	a.done(r.Status >= http.StatusInternalServerError)
-	a.noteWhole()
+	a.noteCompleted()
 	deliverable(r.Header, a.w.Header())
 	if allowsBody(r.Status) && a.request.method != http.MethodHead {
 		a.w.Header().Set("Content-Length", strconv.Itoa(len(held)))
@@ -136,7 +136,7 @@
 		part = buffer[:n]
 		if errors.Is(err, io.EOF) {
 			a.done(false)
-			a.noteWhole()
+			a.noteCompleted()
 			_, err = a.w.Write(part)
 			return a.delivered(err)
 		}
@@ -184,7 +184,7 @@
 			return a.broken(errCut(io.ErrUnexpectedEOF))
 		case errors.Is(err, io.EOF):
 			a.done(false)
-			a.noteWhole()
+			a.noteCompleted()
 			a.noteLength()
 			if !a.opened {
 				a.open(r)
--- a/routed/quarantine_test.go
+++ b/routed/quarantine_test.go
@@ -69,14 +69,7 @@
 	return response
 }
 
-// TestARequestThatEndsItsEndpointsIsKeptFromThem sends the same request ten times, each under
-// an id of its own, to a pool of which it ends whatever endpoint begins to run it.
-//
-// Seen on a site of 16 engines: a request under which three engines had ended was sent to
-// engines five times more, and eight ended. Each end stops the lock-step group, so that
-// nearly everything else was refused for as long as the request came back. It came under
-// another id each time, and an entry remembered endpoints, never requests: each attempt began
-// as if it were the first. Without the check in exchange.run and attempt this ends 10 to 12.
+// Guards against a request that is sent to endpoint after endpoint although those that ran it ended.
 func TestARequestThatEndsItsEndpointsIsKeptFromThem(t *testing.T) {
 	for _, target := range []string{"/read/x", "/once/x", "/resumable/x"} {
 		t.Run(target, func(t *testing.T) {
@@ -95,8 +88,7 @@
 	}
 }
 
-// TestARequestThatMetOtherEndsIsServed has a request on endpoints that end for another reason,
-// in both of its attempts: when its caller comes again it is served, and cleared.
+// Guards against a request that is held for crashes that it did not cause.
 func TestARequestThatMetOtherEndsIsServed(t *testing.T) {
 	is := is.New(t)
 	const unlucky = "was there"
--- a/routed/server.go
+++ b/routed/server.go
@@ -91,7 +91,7 @@
 	Reach     *reach.Tracker
 	Groups    *lockstep.Tracker
 	// Quarantine knows the requests under which endpoints have ended.
-	Quarantine *quarantine.Book
+	Quarantine *quarantine.Tracker
 	RateLimits RateLimits
 	Client     *direct.Client
 	Budget     *call.Budget
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,8 +1,7 @@
-// Package sharing keeps what entries share through the hosts whose reports they all read:
-// under which requests endpoints have ended, and the rate limits that endpoints name. A host
-// passes on what it is sent, and lets requests to limited endpoints pass one by one. Nothing
-// of it goes through the control replicas, so that an entry that is cut off from those takes
-// part.
+// Package sharing keeps what entries share through the hosts whose load reports they all read:
+// crash reports, and the rate limits that endpoints name. A host passes both on to all entries,
+// and permits the requests to limited endpoints one by one. The control replicas have no part
+// in it, so that an entry that is cut off from them takes part.
 package sharing
 
 import (
@@ -15,19 +14,21 @@
 
 // Host is the part of a host's service that entries share. It is safe for concurrent use.
 type Host struct {
-	clock     func() time.Duration
-	sightings *quarantine.Board
-	limits    *ratelimit.Arbiter
+	clock   func() time.Duration
+	crashes *quarantine.Registry
+	limits  *ratelimit.Arbiter
 }
 
 // NewHost returns a host that knows nothing but what the arbiter knows, whose times are those
 // of the clock.
 func NewHost(clock func() time.Duration, limits *ratelimit.Arbiter) *Host {
-	return &Host{clock: clock, sightings: quarantine.NewBoard(), limits: limits}
+	return &Host{clock: clock, crashes: quarantine.NewRegistry(), limits: limits}
 }
 
-// Tell takes in what an entry has sighted.
-func (h *Host) Tell(r *agentv1.TellRequest) { h.sightings.Post(h.clock(), r.GetSightings()) }
+// PublishCrashReports takes in the crash reports of an entry.
+func (h *Host) PublishCrashReports(r *agentv1.PublishCrashReportsRequest) {
+	h.crashes.Publish(h.clock(), r.GetCrashReports())
+}
 
 // Permit answers the wish of an entry to send a request to an endpoint that names a limit.
 func (h *Host) Permit(r *agentv1.PermitRequest) *agentv1.PermitResponse {
@@ -47,14 +48,14 @@
 
 // Reader reads what entries share, for one reader of the host's reports.
 type Reader struct {
-	host              *Host
-	sightings, limits uint64
+	host            *Host
+	crashes, limits uint64
 }
 
 // Reader takes in what a new reader knows, and returns its position.
 func (h *Host) Reader(r *agentv1.ReportsRequest) *Reader {
 	now := h.clock()
-	h.sightings.Post(now, r.GetSightings())
+	h.crashes.Publish(now, r.GetCrashReports())
 	for _, message := range r.GetRateLimits() {
 		if named, ok := ratelimit.FromProto(now, message); ok {
 			h.limits.Learn(now, named)
@@ -66,11 +67,11 @@
 // Fill adds to a report what the reader has not read yet, and reports whether that is anything.
 func (r *Reader) Fill(report *agentv1.Report) bool {
 	now := r.host.clock()
-	report.Sightings, r.sightings = r.host.sightings.Read(now, r.sightings)
+	report.CrashReports, r.crashes = r.host.crashes.Read(now, r.crashes)
 	var limits []ratelimit.Named
 	limits, r.limits = r.host.limits.Since(r.limits)
 	for _, named := range limits {
 		report.RateLimits = append(report.RateLimits, ratelimit.ToProto(now, named))
 	}
-	return len(report.GetSightings())+len(limits) > 0
+	return len(report.GetCrashReports())+len(limits) > 0
 }
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -24,7 +24,7 @@
 		report := &agentv1.Report{}
 		is.True(reader.Fill(report))
 		is.Equal(len(report.GetRateLimits()), 2)
-		is.True(!reader.Fill(&agentv1.Report{})) // told once
+		is.True(!reader.Fill(&agentv1.Report{})) // read once
 	}
 	now += time.Second
 	permit := h.Permit(&agentv1.PermitRequest{Limit: &agentv1.RateLimit{Endpoint: "e/1", Rate: &rate, SentAgeMs: 1300, AgeMs: 1200}, Wanted: true})
