--- a/entry/first_places_test.go
+++ b/entry/first_places_test.go
@@ -36,7 +36,7 @@
 	c := &configurer{
 		directory: NewDirectory(), table: table, admissions: admissions, loads: loads, groups: groups, routed: server,
 		index: prefix.New(prefix.Config{}), outliers: outlier.New(outlier.Config{}), reach: reach.New(),
-		reports: NewReports(Config{}, nil, table, loads, nil, nil, groups, nil, quarantine.NewTracker(), NewRateLimits(table, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler)),
+		reports: NewReports(Config{}, nil, table, loads, nil, nil, groups, nil, quarantine.NewTracker(), NewRateLimits(Config{}, table, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler)),
 	}
 	delta := &fleetv1.Delta{ToRevision: 1, Site: &fleetv1.Site{
 		Version: 1, Pools: []*fleetv1.Pool{{Name: "pool", Engine: &fleetv1.EngineModel{Sets: 12, Slots: 10}}},
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -10,6 +10,7 @@
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/ratelimit"
 )
@@ -32,10 +33,10 @@
 	*RateLimits
 	hosts func() []string
 	pool  *link.Pool
+	// readers is how many entries read the reports of a host, zero if that is not known.
+	readers func() int
 	// alone lets pass what this entry may send where there are no hosts: its part of each limit.
 	alone *ratelimit.Arbiter
-	// peers is the number of entries that share a limit then.
-	peers float64
 
 	mu sync.Mutex
 	// paused are the hosts that did not answer, with the time until which they are not asked.
@@ -43,10 +44,10 @@
 }
 
 // NewPermits returns Permits that ask the hosts whose reports are followed.
-func NewPermits(cfg Config, limits *RateLimits, reports *Reports, pool *link.Pool) *Permits {
+func NewPermits(limits *RateLimits, reports *Reports, pool *link.Pool) *Permits {
 	return &Permits{
-		RateLimits: limits, hosts: reports.hosts, pool: pool, alone: ratelimit.NewArbiter(),
-		peers: float64(max(cfg.Peers, 1)), paused: map[string]time.Duration{},
+		RateLimits: limits, hosts: reports.hosts, pool: pool, readers: reports.Readers, alone: ratelimit.NewArbiter(),
+		paused: map[string]time.Duration{},
 	}
 }
 
@@ -92,6 +93,11 @@
 	return granted
 }
 
+// Refusal implements routed.RateLimits.
+func (p *Permits) Refusal(pool string) *fault.Error {
+	return p.refusal(pool, max(p.readers(), p.peers))
+}
+
 // ask asks for the permit to send one request, the next host if the first choice does not answer.
 func (p *Permits) ask(ctx context.Context, e *endpoint.Endpoint, limit ratelimit.Limit) (granted bool, wait time.Duration) {
 	named := ratelimit.Named{Endpoint: e.Run(), Limit: limit}
@@ -124,7 +130,7 @@
 
 // askAlone keeps to an equal part of the limit.
 func (p *Permits) askAlone(n ratelimit.Named) (granted bool, wait time.Duration) {
-	n.Limit.Rate /= p.peers
+	n.Limit.Rate /= float64(p.peers)
 	permit := p.alone.Ask(time.Since(processStart), n, 0)
 	return permit.Granted, permit.Wait
 }
--- a/entry/ratelimits.go
+++ b/entry/ratelimits.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"cmp"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -13,18 +15,27 @@
 )
 
 // RateLimits holds the rate limits that endpoints name, as far as this entry knows them. It is
-// safe for concurrent use.
+// safe for concurrent use. Its lock is a leaf.
 type RateLimits struct {
-	table     *ratelimit.Table
-	endpoints *endpoint.Table
-	logger    *slog.Logger
+	// peers is the number of entries by the settings, longestWait the latest time after which a
+	// refused caller is asked to come back.
+	peers       int
+	longestWait time.Duration
+	table       *ratelimit.Table
+	endpoints   *endpoint.Table
+	logger      *slog.Logger
 	// first and again count the attempts at endpoints that name a limit.
 	first, again *metrics.Counter
+
+	mu sync.Mutex
+	// turns are those of the refused requests to each pool.
+	turns map[string]ratelimit.Turns
 }
 
 // NewRateLimits returns RateLimits that know of no limit.
-func NewRateLimits(endpoints *endpoint.Table, logger *slog.Logger) *RateLimits {
+func NewRateLimits(cfg Config, endpoints *endpoint.Table, logger *slog.Logger) *RateLimits {
 	l := &RateLimits{
+		peers: max(cfg.Peers, 1), longestWait: cmp.Or(cfg.MaxRetryAfter, longestRateWait), turns: map[string]ratelimit.Turns{},
 		table: ratelimit.NewTable(), endpoints: endpoints, logger: logger,
 		first: metrics.GetOrCreateCounter(`lilackeel_entry_rate_limited_attempts_total{attempt="first"}`),
 		again: metrics.GetOrCreateCounter(`lilackeel_entry_rate_limited_attempts_total{attempt="further"}`),
@@ -90,24 +101,50 @@
 
 // Refusal returns the fault of a request for which no endpoint of a pool is left, if some take
 // requests again later; nil otherwise.
-func (l *RateLimits) Refusal(pool string) *fault.Error {
-	now, view := time.Since(processStart), l.endpoints.Snapshot()
-	var soonest time.Duration
-	for _, id := range l.table.Closed(now) {
-		opens := l.table.Opens(id) - now
-		if e, known := view.Get(id); known && e.Pool == pool && (soonest == 0 || opens < soonest) {
-			soonest = opens
-		}
-	}
+func (l *RateLimits) Refusal(pool string) *fault.Error { return l.refusal(pool, l.peers) }
+
+// refusal is Refusal for one of so many entries, which has its part of the pool's limits. Each
+// request is given a turn.
+func (l *RateLimits) refusal(pool string, entries int) *fault.Error {
+	now := time.Since(processStart)
+	soonest, rate := l.opens(now, pool)
 	if soonest == 0 {
 		return nil
 	}
+	latest := now + max(l.longestWait, leastRateWait)
+	l.mu.Lock()
+	turns := l.turns[pool]
+	turn := turns.Next(max(soonest, now+leastRateWait), latest, rate/float64(max(entries, 1)))
+	l.turns[pool] = turns
+	l.mu.Unlock()
 	return fault.New(fault.RateLimited, "not run: the endpoints that are left take no more requests a second",
-		"ask again after the time given, or add endpoints").After(max(soonest, leastRateWait))
+		"ask again after the time given, or add endpoints").After(turn - now)
 }
 
-// leastRateWait is the shortest time after which a caller is asked to come back.
-const leastRateWait = 100 * time.Millisecond
+// opens returns when the first endpoint of a pool takes a request again, zero if none is closed,
+// and the sum of the limits of those that are.
+func (l *RateLimits) opens(now time.Duration, pool string) (soonest time.Duration, rate float64) {
+	view := l.endpoints.Snapshot()
+	for _, id := range l.table.Closed(now) {
+		e, known := view.Get(id)
+		limit, limited := l.table.Limit(id)
+		if !known || !limited || e.Pool != pool {
+			continue
+		}
+		rate += limit.Rate
+		if opens := l.table.Opens(id); soonest == 0 || opens < soonest {
+			soonest = opens
+		}
+	}
+	return soonest, rate
+}
+
+// leastRateWait is the shortest time after which a caller is asked to come back, longestRateWait
+// the longest where the settings state none.
+const (
+	leastRateWait   = 100 * time.Millisecond
+	longestRateWait = 2500 * time.Millisecond
+)
 
 // Forget drops what is known of an endpoint that has left or started anew.
 func (l *RateLimits) Forget(id string) { l.table.Forget(id) }
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -33,7 +33,7 @@
 	lockstepTracker := newGroups()
 	client := newFeed(cfg, v, logger)
 	quarantineTracker := quarantine.NewTracker()
-	rateLimits := NewRateLimits(table, logger)
+	rateLimits := NewRateLimits(cfg, table, logger)
 	reports := NewReports(cfg, pool, table, tracker, index, detector, lockstepTracker, client, quarantineTracker, rateLimits, logger)
 	parts := Parts{
 		Directory:  entryDirectory,
@@ -52,7 +52,7 @@
 	server := NewServer(cfg, parts)
 	reachTracker := newReach()
 	directClient := newDirectClient()
-	permits := NewPermits(cfg, rateLimits, reports, pool)
+	permits := NewPermits(rateLimits, reports, pool)
 	routedServer := newRouted(cfg, table, tracker, detector, picker, admissions, reachTracker, lockstepTracker, directClient, quarantineTracker, permits, logger)
 	entryRelay, err := newRelay(cfg, client, logger)
 	if err != nil {
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -5,6 +5,18 @@
 	"time"
 )
 
+// Turns gives refused senders turns, one after the other, so that each comes back when a
+// request may be sent. The zero value is ready; it is not safe for concurrent use.
+type Turns struct{ next time.Duration }
+
+// Next returns the next turn, not before soonest and not after latest, where requests may be
+// sent at a rate.
+func (t *Turns) Next(soonest, latest time.Duration, rate float64) time.Duration {
+	turn := min(max(t.next, soonest), latest)
+	t.next = turn + time.Duration(float64(time.Second)/max(rate, leastRate))
+	return turn
+}
+
 // Table holds the limits that endpoints name, as one entry knows them, by the endpoints' ids.
 // It is safe for concurrent use; its lock is a leaf.
 type Table struct {
