--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -21,6 +21,7 @@
 
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/standin"
 	"github.com/lilackeel/lilackeel/standin/caller"
 )
 
@@ -102,6 +103,7 @@
 	for i := range soakCallers {
 		group.Go(func() { s.call(ctx, rand.New(rand.NewPCG(s.seed, uint64(i))), i) })
 	}
+	group.Go(func() { s.limit(t) })
 	s.operate(ctx, t)
 	group.Wait()
 	quiet := time.Now()
@@ -171,6 +173,58 @@
 	group.Wait()
 }
 
+const (
+	// soakRate is the limit, in requests a second, that the first service names in the second
+	// half of a soak, and rateWindow the time in which its requests are counted.
+	soakRate   = 2
+	rateWindow = 4 * time.Second
+	// rateKnown is how long after the naming the count begins: a call may be under way.
+	rateKnown = time.Second
+)
+
+// limit has a service name a rate limit, and counts what it gets from all entries together.
+func (s *soak) limit(t *testing.T) {
+	time.Sleep(*soakLength / 2)
+	s.setFaults(t, 0, standin.Faults{RateLimit: strconv.Itoa(soakRate)})
+	named := time.Now()
+	time.Sleep(*soakLength/2 - quietTime)
+	counted := time.Since(named) - rateKnown
+	path := fmt.Sprintf("/standin/arrivals?window_ms=%d&last_ms=%d", rateWindow.Milliseconds(), counted.Milliseconds())
+	got, err := strconv.Atoi(strings.TrimSpace(string(s.list(t, 0, path))))
+	if err != nil {
+		t.Error(err)
+	}
+	t.Logf("the limited service got %d requests in %v at most", got, rateWindow)
+	if err := overRate(got); err != nil {
+		t.Error(err)
+	}
+	s.setFaults(t, 0, standin.Faults{})
+}
+
+// overRate returns an error for more requests than one and a half times the limit allows, and
+// five.
+func overRate(got int) error {
+	if allowed := int(1.5*soakRate*rateWindow.Seconds()) + 5; got > allowed {
+		return fmt.Errorf("a service that names %d requests a second got %d in %v, allowed %d", soakRate, got, rateWindow, allowed)
+	}
+	return nil
+}
+
+// setFaults switches the faults of a stand-in service.
+func (s *soak) setFaults(t *testing.T, i int, faults standin.Faults) {
+	body, err := json.Marshal(faults)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	response, err := http.Post("http://"+s.services[i]+"/standin/faults", "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	_ = response.Body.Close()
+}
+
 // wipe loses the disk of the last replica, which joins anew.
 func (s *soak) wipe(t *testing.T) {
 	last := replicas - 1
@@ -330,6 +384,8 @@
 	is.NoErr(overLevel(mostGoroutines, mostDescriptors))
 	is.True(overLevel(mostGoroutines+1, 0) != nil)
 	is.True(overLevel(0, mostDescriptors+1) != nil)
+	is.NoErr(overRate(17))
+	is.True(overRate(18) != nil)
 	lost := ledger{intents: []string{"a", "b"}}
 	is.Equal(lost.missing(map[string]bool{"a": true}), []string{"b"})
 	is.Equal(newPlan(3, 7, 17, time.Minute), newPlan(3, 7, 17, time.Minute)) // a seed says everything
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -67,7 +67,7 @@
 	}
 }
 
-// publish tells the first host that answers what an endpoint names.
+// publish passes on what an endpoint names to the first host that answers.
 func (p *Permits) publish(n ratelimit.Named) {
 	for _, addr := range p.choices(n.Endpoint) {
 		if _, err := p.call(context.Background(), addr, &agentv1.PermitRequest{Limit: ratelimit.ToProto(time.Since(processStart), n)}); err == nil {
--- a/ratelimit/bucket.go
+++ b/ratelimit/bucket.go
@@ -10,7 +10,7 @@
 	burst     = 2
 	burstTime = 250 * time.Millisecond
 	// leastRate is kept up, in requests a second, at an endpoint that takes none: only its
-	// answers tell that it takes some again.
+	// answers show that it takes some again.
 	leastRate = 1.0 / 30
 	// longestWait bounds the time after which a refused sender is to ask again, unless the next
 	// leastTurns requests take longer.
--- a/standin/arrivals.go
+++ b/standin/arrivals.go
@@ -1,7 +1,11 @@
 package standin
 
 import (
+	"errors"
+	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -15,7 +19,13 @@
 	times []time.Time
 }
 
-func (a *arrivals) note() {
+// ownAPI begins the paths of the stand-in's own API, whose requests do not count.
+const ownAPI = "/standin/"
+
+func (a *arrivals) note(r *http.Request) {
+	if strings.HasPrefix(r.URL.Path, ownAPI) {
+		return
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if len(a.times) == maxArrivals {
@@ -24,6 +34,19 @@
 	a.times = append(a.times, time.Now())
 }
 
+// serve answers the greatest number of requests within any window, of the last part of the
+// time: both in milliseconds.
+func (a *arrivals) serve(w http.ResponseWriter, r *http.Request) {
+	window, err := strconv.Atoi(r.URL.Query().Get("window_ms"))
+	last, also := strconv.Atoi(r.URL.Query().Get("last_ms"))
+	if err = errors.Join(err, also); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	since := time.Now().Add(-time.Duration(last) * time.Millisecond)
+	writeJSON(w, http.StatusOK, a.most(since, time.Duration(window)*time.Millisecond))
+}
+
 // most returns the greatest number of requests that came within any window since a time.
 func (a *arrivals) most(since time.Time, window time.Duration) int {
 	a.mu.Lock()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -82,13 +82,14 @@
 	e.HandleFunc("GET "+engineapi.PathCacheEvents, e.serveEvents)
 	e.HandleFunc(engineapi.PathOrders, e.orders.serve)
 	e.HandleFunc("POST /standin/faults", e.faults.serve)
+	e.HandleFunc("GET /standin/arrivals", e.arrivals.serve)
 	e.HandleFunc("POST /standin/clear", func(http.ResponseWriter, *http.Request) { e.cache.clear() })
 	return e
 }
 
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	e.arrivals.note()
+	e.arrivals.note(r)
 	e.faults.name(w)
 	e.ServeMux.ServeHTTP(w, r)
 }
--- a/standin/service.go
+++ b/standin/service.go
@@ -38,6 +38,7 @@
 func NewService(delay time.Duration) *Service {
 	s := &Service{delay: delay}
 	s.HandleFunc("POST /standin/faults", s.faults.serve)
+	s.HandleFunc("GET /standin/arrivals", s.arrivals.serve)
 	s.HandleFunc("GET /", s.list)
 	s.HandleFunc("POST /", s.act)
 	s.HandleFunc("PUT /", s.act)
@@ -46,13 +47,13 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.arrivals.note()
+	s.arrivals.note(r)
 	s.faults.name(w)
 	s.ServeMux.ServeHTTP(w, r)
 }
 
-// MostArrivals returns the greatest number of requests, the stand-in's own API included, that
-// came within any window since a time.
+// MostArrivals returns the greatest number of requests that came within any window since a
+// time.
 func (s *Service) MostArrivals(since time.Time, window time.Duration) int {
 	return s.arrivals.most(since, window)
 }
