--- a/contract/expertmap.go
+++ b/contract/expertmap.go
@@ -33,8 +33,8 @@
 }
 
 // forDaemons is the record without the maps themselves, which are for the ranks of the group:
-// they read them, or are told by the coordinator. With them each switch of 192 ranks brought 46
-// KB to every daemon, for which its own orders waited 40 ms at the leader's link.
+// they read them, or get them from the coordinator. A map is too large to be sent to every daemon
+// at each switch.
 func (e *mapEntry) forDaemons() *fleetv1.MapRecord {
 	return &fleetv1.MapRecord{
 		Group: e.record.GetGroup(), Epoch: e.record.GetEpoch(), State: e.record.GetState(), ActivateStep: e.record.GetActivateStep(),
--- a/control/expertmap/following.go
+++ b/control/expertmap/following.go
@@ -82,8 +82,7 @@
 	g.follower.SetPace(g.pace.Unit(), f.pause(name))
 	g.follower.SetHold(g.spell.Left(now).Seconds())
 	// A held step harms the streams that are in time, and no others: while all are late by
-	// the map in force, nothing is lost by a switch that may be held. Without this a group of
-	// 32 ranks kept a skew of 2.6 for three seconds after two long holds, half of its streams late.
+	// the map in force, nothing is lost by a switch that may be held.
 	harmed := 1 - balance.Late(g.pass(current), f.pause(name))
 	g.follower.SetStall(g.stalls.Expected(now).Seconds() * harmed)
 	decision := g.follower.Decide(current)
--- a/control/formations.go
+++ b/control/formations.go
@@ -26,13 +26,12 @@
 	// 85 to 90 ms.
 	followOrders = 90 * time.Millisecond
 	// followStall is what a switch costs beside the copies: an order without an answer
-	// makes ranks wait for others, in one switch out of some. Measured under lost and
-	// late messages: groups were held 0.2 s in 103 switches.
+	// makes ranks wait for others, in one switch out of some.
 	followStall = 5 * time.Millisecond
 	// followSmoothing is the weight of the newest observation of demand.
 	followSmoothing = 0.3
 	// followJump is the distance between two distributions of demand from which on
-	// they are different: jumps measured move 0.2 to 0.5, noise 0.05.
+	// they are different: well above the noise of counts.
 	followJump = 0.12
 	// followCopies bounds the number of experts that a rank copies for one switch; how
 	// many are worth the wait is weighed for each switch.
--- a/entry/late.go
+++ b/entry/late.go
@@ -96,8 +96,7 @@
 // enter takes a place among the others for a late request, if one is to spare.
 //
 // Nobody in time waits behind a late request: a place that is free at the moment is needed by
-// the next one in time, and whoever waits for it becomes late in turn. On a day on which all
-// machines restarted half of those in time were late for eight seconds after it.
+// the next one in time, which would become late in turn.
 func (l *lateQueues) enter(pool string, now time.Duration, load occupancy) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -140,9 +139,8 @@
 // where answers come late are taken.
 //
 // So many may wait for a pool that does not run as it will have places once it does. After
-// a restart of all machines its groups form within a second, and nothing has been placed
-// by which to tell how many will find a place: without this four in five of those who came
-// then were refused, many of them for the second and last time.
+// a restart of all machines its groups form soon, and no rate is known yet by which to expect
+// places.
 func (l *lateQueues) set(pool string, now time.Duration, r routed.Room) (taken int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/group/balance/stalls.go
+++ b/group/balance/stalls.go
@@ -18,11 +18,10 @@
 }
 
 const (
-	// borne is how long a group may wait without its streams being late: pauses that
-	// are promised are some 120 ms and steps some 60.
+	// borne is how long a group may wait without its streams being late: about what a
+	// promised pause leaves beside a step.
 	borne = 40 * time.Millisecond
-	// streamTime is the work that is lost with a longer wait: a stream takes 1.1 to 1.4 s
-	// at the median on the deployments measured.
+	// streamTime is the work that is lost with a longer wait: about that of one stream.
 	streamTime = 1200 * time.Millisecond
 	// stallWeight is the weight of the newest switch, and stallMemory the time after
 	// which a switch is worth a try again.
--- a/group/balance/within.go
+++ b/group/balance/within.go
@@ -99,8 +99,8 @@
 
 // norm is what the search lowers: a mean of the ranks' loads in which the busiest count
 // most. The busiest load itself does not do: an expert on two ranks makes both the
-// busiest, so that no move lowers the highest load by itself, and a search for that
-// stopped with a skew of 1.9 of 32 ranks where 1.3 is within reach.
+// busiest, so that no move lowers the highest load by itself, and a search for that stops
+// early.
 //
 // It is the 16th root of the mean of the 16th powers, which is within a quarter of the
 // highest load at 32 ranks.
--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -29,9 +29,7 @@
 	// leastReport is the shortest such time.
 	leastReport = 20 * time.Millisecond
 	// reportBudget is how many reports a second a host sends to all its readers: 16 entries
-	// get one each 100 ms, 36 each 225 ms, which is a fifth of the time of a stream. Without it
-	// a host of 36 entries woke 360 times a second, which was most of the 2.2% of a core
-	// that it took.
+	// get one each 100 ms, 36 each 225 ms. It bounds what many readers cost the host.
 	reportBudget = 160
 )
 
--- a/routed/filling.go
+++ b/routed/filling.go
@@ -10,8 +10,7 @@
 
 const (
 	// firstSkew is the load of the busiest rank over the mean under a group's first map,
-	// which deals the experts in turn: 2.6 to 3.5 on every shape of 8 to 192 ranks that was
-	// played.
+	// which deals the experts in turn.
 	firstSkew = 3
 	// firstPause is the part of the longest pause that is made use of while a group fills up.
 	firstPause = 0.92
--- a/routed/move.go
+++ b/routed/move.go
@@ -61,9 +61,8 @@
 
 // silent reports whether nothing has come from the endpoint since the request was sent,
 // for much longer than a first part takes, although its group runs: its machine is cut off
-// or frozen while the others carry the steps. Callers leave such a request after some two
-// seconds, so that it never counts as a failure; without this an entry sent more there
-// all the while, and they reached the engine after their callers had left.
+// or frozen while the others carry the steps. Callers leave such a request before it counts as
+// a failure, and what is sent there meanwhile would reach the engine after its caller has left.
 func (a *attempt) silent() bool {
 	s := a.server
 	now := s.clock()
@@ -90,9 +89,8 @@
 // cannotEnd reports whether the passes of the endpoint's group take so long that the rest of the
 // answer cannot come before the caller's deadline, and can from another group that keeps the
 // pace, though the prompt is read again there. One slow rank sets the pace for all streams of
-// its group: with one that was twelve times as slow a stream of 23 parts took 15 s, and half
-// of the streams that ran there were cut at their deadline of 8 s. Streams that can still end
-// stay: to move whatever is late only doubles the load of the other groups.
+// its group. Streams that can still end stay: to move whatever is late only doubles the load of
+// the other groups.
 func (a *attempt) cannotEnd() bool {
 	s, q := a.server, a.request
 	gap := time.Duration(q.route.GetGapMs()) * time.Millisecond
--- a/routed/throttle.go
+++ b/routed/throttle.go
@@ -123,9 +123,8 @@
 }
 
 // PublishFirst puts the first site in force, once the places of its pools are set. After a
-// restart of all machines everybody who has called since waits for this moment: until the
-// places were known, callers who came late were refused but for a few, 568 of 780 in the
-// first second of one restart before 640 free slots, and came back together.
+// restart of all machines everybody who has called since waits for this moment, and would be
+// refused while the places are not known.
 func (s *Server) PublishFirst(table *site.Table, places Places, entries int) {
 	s.setPlaces(table, places, entries)
 	s.Publish(table)
