--- a/agent/engineapi/engineapi.go
+++ b/agent/engineapi/engineapi.go
@@ -14,7 +14,9 @@
 // engine repeats X-Resume-Offset when it resumes, and answers 404 when it no
 // longer knows the stream. X-Priority orders the calls that wait, highest
 // first. An answer of any endpoint may name in Lilackeel-Rate-Limit the requests a second
-// that it takes, for as long as its answers say so.
+// that it takes, for as long as its answers say so. An endpoint that rejects a request with 503 and
+// Retry-After wants nothing more from its sender for that time; Lilackeel-Not-Run says that the
+// request did not run.
 package engineapi
 
 // Paths of the API.
@@ -32,6 +34,7 @@
 	HeaderResumeOffset = "X-Resume-Offset"
 	HeaderPriority     = "X-Priority"
 	HeaderRateLimit    = "Lilackeel-Rate-Limit"
+	HeaderNotRun       = "Lilackeel-Not-Run"
 )
 
 // Kinds of Order.
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -30,6 +30,9 @@
 	services []*standin.Service
 	delta    *fleetv1.Delta
 	fronts   []*httptest.Server
+	// configurers are those of the entries.
+	configurers []*configurer
+	callers     sync.WaitGroup
 	// hosts are the addresses of the hosts, and ends ends them.
 	hosts []string
 	ends  []func()
@@ -47,25 +50,27 @@
 			TimeoutMs: 2000, MaxAttempts: 2, Splits: split, Public: true,
 		}},
 	}}
-	serving := func(e *fleetv1.Endpoint) {
-		e.State, e.Live, e.Incarnation, e.Revision = fleetv1.EndpointState_ENDPOINT_STATE_SERVING, true, 1, 1
-		f.delta.Endpoints = append(f.delta.Endpoints, e)
-	}
 	for i := range services {
 		service := standin.NewService(time.Millisecond)
 		back := httptest.NewServer(service)
 		t.Cleanup(back.Close)
 		f.services = append(f.services, service)
-		serving(&fleetv1.Endpoint{Id: fmt.Sprint("e", i), Pool: "pool", Addr: strings.TrimPrefix(back.URL, "http://"), Slots: 64})
+		f.serving(&fleetv1.Endpoint{Id: fmt.Sprint("e", i), Pool: "pool", Addr: strings.TrimPrefix(back.URL, "http://"), Slots: 64})
 	}
 	for i := range hosts {
 		addr, end := startSharingHost(t, "127.0.0.1:0")
 		f.hosts, f.ends = append(f.hosts, addr), append(f.ends, end)
-		serving(&fleetv1.Endpoint{Id: fmt.Sprint("rank-", i), Pool: "ranks", Role: endpoint.RoleRank, Agent: fmt.Sprint("host-", i), AgentAddr: addr})
+		f.serving(&fleetv1.Endpoint{Id: fmt.Sprint("rank-", i), Pool: "ranks", Role: endpoint.RoleRank, Agent: fmt.Sprint("host-", i), AgentAddr: addr})
 	}
 	return f
 }
 
+// serving adds an endpoint that takes calls.
+func (f *limitedFleet) serving(e *fleetv1.Endpoint) {
+	e.State, e.Live, e.Incarnation, e.Revision = fleetv1.EndpointState_ENDPOINT_STATE_SERVING, true, 1, 1
+	f.delta.Endpoints = append(f.delta.Endpoints, e)
+}
+
 // endHosts ends the first hosts. The configuration goes on to name them.
 func (f *limitedFleet) endHosts(count int) {
 	for _, end := range f.ends[:count] {
@@ -95,24 +100,30 @@
 	d.configurer.apply(f.t.Context(), (&feed.View{}).Apply(f.delta), f.delta)
 	go d.throttle(f.t.Context())
 	front := httptest.NewServer(d.routed)
-	f.fronts = append(f.fronts, front)
-	var callers sync.WaitGroup
+	f.fronts, f.configurers = append(f.fronts, front), append(f.configurers, d.configurer)
 	f.t.Cleanup(func() {
-		callers.Wait()
+		f.callers.Wait()
 		front.Close()
 		_ = d.pool.Close()
 	})
-	callers.Go(func() {
+	f.startCallers(front.URL, http.MethodGet, rate)
+}
+
+// startCallers starts callers that send an entry so many requests a second.
+func (f *limitedFleet) startCallers(url, method string, rate float64) {
+	f.callers.Go(func() {
 		for f.t.Context().Err() == nil {
 			wait.For(f.t.Context(), time.Duration(rand.ExpFloat64()/rate*float64(time.Second)))
-			callers.Go(func() { f.ask(front.URL) })
+			f.callers.Go(func() { f.send(url, method) })
 		}
 	})
 }
 
 // ask sends one request and counts its answer.
-func (f *limitedFleet) ask(url string) {
-	r, err := http.NewRequest(http.MethodGet, url+"/read/x", nil)
+func (f *limitedFleet) ask(url string) { f.send(url, http.MethodGet) }
+
+func (f *limitedFleet) send(url, method string) {
+	r, err := http.NewRequest(method, url+"/read/x", nil)
 	if err != nil {
 		f.t.Error(err)
 		return
--- a/routed/headers.go
+++ b/routed/headers.go
@@ -45,7 +45,7 @@
 	Workspace: "Lilackeel-Workspace",
 	Endpoint:  "Lilackeel-Endpoint",
 	Priority:  "Lilackeel-Engine-Priority",
-	NotRun:    "Lilackeel-Not-Run",
+	NotRun:    engineapi.HeaderNotRun,
 	RateLimit: engineapi.HeaderRateLimit,
 }
 
--- a/standin/arrivals.go
+++ b/standin/arrivals.go
@@ -22,8 +22,10 @@
 // ownAPI begins the paths of the stand-in's own API, whose requests do not count.
 const ownAPI = "/standin/"
 
+func isOwnAPI(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, ownAPI) }
+
 func (a *arrivals) note(r *http.Request) {
-	if strings.HasPrefix(r.URL.Path, ownAPI) {
+	if isOwnAPI(r) {
 		return
 	}
 	a.mu.Lock()
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -91,6 +91,9 @@
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.arrivals.note(r)
 	e.faults.name(w)
+	if e.faults.rejects(w, r) {
+		return
+	}
 	e.ServeMux.ServeHTTP(w, r)
 }
 
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -31,6 +31,9 @@
 	// RateLimit is named in every answer as the requests a second that the stand-in takes;
 	// none if empty.
 	RateLimit string `json:"rate_limit,omitempty"`
+	// RetryAfter rejects every request, polls and orders included, with 503 and this
+	// Retry-After; nothing runs.
+	RetryAfter string `json:"retry_after,omitempty"`
 }
 
 // stallPoll is how often a stalled answer looks whether the stall is over.
@@ -70,6 +73,18 @@
 	}
 }
 
+// rejects answers a request that the faults reject, and reports whether they do.
+func (f *faultSwitch) rejects(w http.ResponseWriter, r *http.Request) bool {
+	pause := f.get().RetryAfter
+	if pause == "" || isOwnAPI(r) {
+		return false
+	}
+	w.Header().Set(engineapi.HeaderNotRun, "1")
+	w.Header().Set("Retry-After", pause)
+	http.Error(w, "switched rejection", http.StatusServiceUnavailable)
+	return true
+}
+
 // waitStall returns when no stall is on or the caller is gone.
 func (f *faultSwitch) waitStall(r *http.Request) bool {
 	for f.get().Stall {
--- a/standin/service.go
+++ b/standin/service.go
@@ -49,6 +49,9 @@
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.arrivals.note(r)
 	s.faults.name(w)
+	if s.faults.rejects(w, r) {
+		return
+	}
 	s.ServeMux.ServeHTTP(w, r)
 }
 
