Keep the pauses that endpoints ask for with Retry-After

Callers saw 503 while healthy engines had places: engines that reject at once and ask for a pause of 3 s got two thirds and then nearly all requests, up to 34 from one entry within one pause.

Calls go to the endpoint with the fewest in flight, which is the one that rejects at once. Class: a request of the other side that is passed over, since no place decides for all ways to an endpoint whether it may be sent to now.

Change: ratelimit.Pause, kept beside limits by the two places that decide: the table of an entry (Begin, for each first or further attempt and resumed stream) and the gate of an agent, asked by the client through which calls, polls, read-backs and orders pass. An attempt whose connection was being set up ends unsent. After a pause an endpoint gets one request at a time until it takes one. A rank's host leaves its engine alone but for a switch of maps. Places of a pool are those of the endpoints that take requests; while none does, a request waits if one opens in time for it, and is refused at once with a turn otherwise.

Refused callers of a pool in a pause are told a time after its end, each its own, in place of 0.25 s.

--- a/agent/client.go
+++ b/agent/client.go
@@ -118,13 +118,16 @@
 	return c.roundTrip(transport, request, e)
 }
 
-// roundTrip sends a request; an error of type notAsked means that no connection
-// was ever made for it.
+// roundTrip sends a request; an error of type notAsked means that the endpoint
+// never saw any of it. All requests to endpoints pass here.
 func (c *endpointClient) roundTrip(transport *http.Transport, request *http.Request, e Endpoint) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	request = request.WithContext(httptrace.WithClientTrace(request.Context(), trace))
-	c.lockedGate.sending(e.ID)
+	if paused := c.lockedGate.checkSend(e.ID); paused != nil {
+		countPaused(e.ID)
+		return nil, notAsked{cause: paused}
+	}
 	sent := c.lockedGate.clock.now()
 	response, err := transport.RoundTrip(request)
 	switch {
@@ -141,10 +144,15 @@
 	c.lockedGate.named(e.ID, sent, response.Header.Get(engineapi.HeaderRateLimit))
 	if pause, ok := ratelimit.RetryAfter(response.StatusCode, response.Header); ok {
 		c.lockedGate.pushedBack(e.ID, pause)
+		return
+	}
+	if response.StatusCode != http.StatusServiceUnavailable {
+		c.lockedGate.taken(e.ID, sent)
 	}
 }
 
-// countPushback counts an answer that asks for a pause, countPaused a request that is sent in one.
+// countPushback counts an answer that asks for a pause, countPaused a request that is not sent
+// because of one.
 func countPushback(endpoint string) {
 	metrics.GetOrCreateCounter(`lilackeel_agent_pushbacks_total{endpoint="` + endpoint + `"}`).Inc()
 }
--- a/agent/lockedgate.go
+++ b/agent/lockedgate.go
@@ -8,6 +8,7 @@
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/gate"
 	"github.com/lilackeel/lilackeel/ratelimit"
@@ -92,14 +93,18 @@
 	k.gate.PushedBack(k.clock.now(), endpoint, pause)
 }
 
-// sending counts a request to an endpoint that has asked for a pause.
-func (k *lockedGate) sending(endpoint string) {
+// taken notes that an endpoint has not rejected a request that was sent at a time.
+func (k *lockedGate) taken(endpoint string, sent time.Duration) {
 	k.mu.Lock()
-	paused := k.gate.Paused(k.clock.now(), endpoint)
-	k.mu.Unlock()
-	if paused {
-		countPaused(endpoint)
-	}
+	defer k.mu.Unlock()
+	k.gate.Taken(endpoint, sent)
+}
+
+// checkSend lets one request be sent to an endpoint, unless that is in a pause.
+func (k *lockedGate) checkSend(endpoint string) *fault.Error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.gate.CheckSend(k.clock.now(), endpoint)
 }
 
 // ended notes that an endpoint's process has ended.
--- a/call/limited_test.go
+++ b/call/limited_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/fault"
 )
@@ -39,3 +40,49 @@
 	is.Equal(action.Verdict.Fault.Kind, fault.RateLimited)
 	is.Equal(action.Verdict.Fault.RetryAfter, 700*time.Millisecond)
 }
+
+// Guards against calls that are refused although an endpoint takes requests again within their
+// time, and against calls that are held in vain.
+func TestACallWaitsForAnEndpointThatOpensInTime(t *testing.T) {
+	is := is.New(t)
+	policy := call.DefaultPolicy
+	options := call.Options{RequestID: "r", Deadline: 10 * time.Second, Policy: &policy, Budget: call.NewBudget(call.BudgetConfig{}), Rand: rand.New(rand.NewPCG(1, 1))}
+	opensIn := func(d time.Duration) *fault.Error { return fault.New(fault.RateLimited, "closed", "wait").After(d) }
+	for _, m := range []interface {
+		Start(time.Duration) call.Action
+		PickFailed(time.Duration, *fault.Error) call.Action
+	}{call.NewRepeatable(options), call.NewSingle(call.SingleOptions{Options: options})} {
+		m.Start(0)
+		action := m.PickFailed(0, opensIn(4*time.Second))
+		is.Equal(action.Kind, call.Pick)
+		is.Equal(action.Delay, 4*time.Second)
+		is.Equal(len(action.Exclude), 0)
+		action = m.PickFailed(4*time.Second, opensIn(3100*time.Millisecond))
+		is.Equal(action.Kind, call.Finish) // what is left would not do
+		is.Equal(action.Verdict.Outcome, call.NotRun)
+		is.Equal(action.Verdict.Fault.RetryAfter, 3100*time.Millisecond)
+	}
+}
+
+// Guards against a stream that is given up since its endpoint takes no requests for a moment.
+func TestAResumedStreamWaitsForItsEndpoint(t *testing.T) {
+	is := is.New(t)
+	policy := call.DefaultPolicy
+	m := call.NewRepeatable(call.Options{RequestID: "r", Deadline: 10 * time.Second, Policy: &policy, Budget: call.NewBudget(call.DefaultBudget), Rand: rand.New(rand.NewPCG(1, 1))})
+	m.Start(0)
+	action := m.Picked(0, call.Target{Endpoint: "e1", Incarnation: 1})
+	answer := func(r *agentv1.DispatchResponse) call.Action {
+		r.RequestId, r.Attempt, r.Incarnation = "r", action.Attempt, 1
+		return m.Response(0, r)
+	}
+	answer(&agentv1.DispatchResponse{Kind: &agentv1.DispatchResponse_Head{Head: &agentv1.Head{
+		Status: 200, StreamId: "s", Headers: []*controlv1.Header{{Name: "Content-Type", Value: "text/event-stream"}},
+	}}})
+	answer(&agentv1.DispatchResponse{Kind: &agentv1.DispatchResponse_Chunk{Chunk: &agentv1.Chunk{Data: []byte("data: one\n\n")}}})
+	action = answer(&agentv1.DispatchResponse{Kind: &agentv1.DispatchResponse_Broken{Broken: &agentv1.Broken{MayHaveRun: true}}})
+	is.Equal(action.Kind, call.Dispatch)
+	action = answer(&agentv1.DispatchResponse{Kind: &agentv1.DispatchResponse_Refused{Refused: &agentv1.Refused{Kind: string(fault.RateLimited), RetryAfterMs: 700}}})
+	is.Equal(action.Kind, call.Dispatch)
+	is.Equal(action.Delay, 700*time.Millisecond)
+	is.Equal(action.Offset, uint64(len("data: one\n\n")))
+}
--- a/call/progress.go
+++ b/call/progress.go
@@ -52,6 +52,21 @@
 	return Action{Kind: Pick, Exclude: p.tried}
 }
 
+// openingPatience is the part of the time left, as a divisor, that a call may wait for an endpoint
+// to take requests again: the rest has to do for its answer.
+const openingPatience = 2
+
+// awaitOpening picks anew once an endpoint takes requests again, as the fault of a failed pick says.
+// ok is false if it does not say so, or if that is too late for the call.
+func (p *progress) awaitOpening(now time.Duration, f *fault.Error) (action Action, ok bool) {
+	left := p.options.Deadline - now
+	if f.Kind != fault.RateLimited || f.RetryAfter <= 0 || f.RetryAfter > left/openingPatience {
+		return Action{}, false
+	}
+	p.tried = nil
+	return Action{Kind: Pick, Delay: f.RetryAfter}, true
+}
+
 // nextBackoff counts a retry and returns the wait before it.
 func (p *progress) nextBackoff() time.Duration {
 	delay := p.options.Policy.Backoff.Delay(p.options.Rand, p.retries)
--- a/call/repeatable.go
+++ b/call/repeatable.go
@@ -64,6 +64,9 @@
 
 // PickFailed reports that no endpoint can take the call.
 func (m *Repeatable) PickFailed(now time.Duration, f *fault.Error) Action {
+	if action, ok := m.awaitOpening(now, f); ok {
+		return action
+	}
 	if m.last == nil && m.limited != nil {
 		return m.giveUp(now, m.limited)
 	}
@@ -211,6 +214,9 @@
 func (m *Repeatable) resume(now time.Duration, f *fault.Error) Action {
 	policy := m.options.Policy
 	delay := policy.Backoff.Delay(m.options.Rand, m.answer.counts.Resumes)
+	if f.Kind == fault.RateLimited {
+		delay = max(delay, f.RetryAfter)
+	}
 	resumable := m.answer.head.GetStreamId() != ""
 	inTime := now+delay < m.options.Deadline
 	if !resumable || !inTime || m.answer.counts.Resumes >= policy.MaxResumes || !m.options.Budget.Withdraw(now) {
--- a/call/single.go
+++ b/call/single.go
@@ -107,6 +107,9 @@
 
 // PickFailed reports that no endpoint can take the call.
 func (m *Single) PickFailed(now time.Duration, f *fault.Error) Action {
+	if action, ok := m.awaitOpening(now, f); ok {
+		return action
+	}
 	if m.last == nil && m.limited != nil {
 		f = m.limited
 	}
--- a/direct/direct_test.go
+++ b/direct/direct_test.go
@@ -279,3 +279,17 @@
 		is.Equal(s.served.Load(), int32(2))
 	}
 }
+
+// Guards against a request that is written although its endpoint asked for a pause while the
+// connection was set up.
+func TestACheckEndsARequestUnsent(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 1)
+	s := serve(t, func(_ net.Conn, r *bufio.Reader) { got <- head(r) })
+	refusal := fault.New(fault.RateLimited, "paused", "wait")
+	q := request()
+	q.Check = func() error { return refusal }
+	_, err := send(t, NewClient(Config{}), s.addr(), q)
+	is.True(errors.Is(err, refusal))
+	is.Equal(<-got, "") // the connection ended with nothing on it
+}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -38,6 +38,9 @@
 	Header http.Header
 	// Body is sent with its length.
 	Body []byte
+	// Check is called once there is a connection, right before the request is written; an
+	// error of it is returned, and nothing is sent. It may be nil.
+	Check func() error
 }
 
 // Response is the head of an answer. Body must be read to its end or closed. Its
@@ -61,6 +64,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := r.check(); err != nil {
+		used.close()
+		return nil, err
+	}
 	x := &exchange{client: c, conn: used, request: r, stop: context.AfterFunc(ctx, used.abandon)}
 	if err := x.write(); err != nil {
 		x.abort()
@@ -74,6 +81,13 @@
 	return response, nil
 }
 
+func (r *Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
 // exchange is one request on one connection.
 type exchange struct {
 	client  *Client
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -90,6 +90,9 @@
 	a.gate(pool).SetCapacity(r.InTime + max(r.Stuck-taken, 0))
 }
 
+// Hold implements Holds.
+func (a *Admissions) Hold(pool string) time.Duration { return a.gate(pool).Hold() }
+
 // admitSpare takes a place where answers come late, if there is one.
 func (a *Admissions) admitSpare(pool string) (func(), bool) {
 	if !a.late.take(pool, time.Since(processStart)) {
--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -134,7 +134,7 @@
 		FirstByteTimeout: 5 * time.Second, IdleTimeout: 5 * time.Second, AccessLog: true,
 	}, Parts{
 		Directory: directory, Admitter: f, Picker: f, Loads: load.New(load.Config{}, table), Index: prefix.New(prefix.Config{Entries: 64}),
-		Outliers: outlier.New(outlier.Config{}), Agents: f, Claims: f, Knowledge: f, Quarantine: quarantine.NewTracker(), RateLimits: NewRateLimits(Config{}, table, slog.New(slog.DiscardHandler)),
+		Outliers: outlier.New(outlier.Config{}), Agents: f, Claims: f, Knowledge: f, Quarantine: quarantine.NewTracker(), RateLimits: NewRateLimits(Config{}, table, NewAdmissions(Config{}), slog.New(slog.DiscardHandler)),
 		Logger: slog.New(slog.DiscardHandler),
 	})
 	s.start = time.Now() // of the bubble's clock, which may lie before the process's start
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -57,9 +57,7 @@
 	if present, known := p.endpoints.Get(e.ID); !known || present.Incarnation != e.Incarnation {
 		return
 	}
-	if f.Pause > 0 {
-		p.pushedBack(e.ID, f.Pause)
-	}
+	p.noteRejection(e.ID, f)
 	rate, ok := ratelimit.Parse(f.Rate)
 	if !ok {
 		return
@@ -81,16 +79,13 @@
 
 // Admit implements routed.RateLimits.
 func (p *Permits) Admit(ctx context.Context, e *endpoint.Endpoint, again bool) bool {
-	limit, limited, ask := p.table.Begin(time.Since(processStart), e.ID)
-	if !limited {
-		p.sent(e.ID, again)
-		return true
-	}
-	if !ask {
-		return false
+	limit, admission := p.table.Begin(time.Since(processStart), e.ID)
+	granted := admission == ratelimit.Open
+	if admission == ratelimit.Ask {
+		var wait time.Duration
+		granted, wait = p.ask(ctx, e, limit)
+		p.table.End(e.ID, time.Since(processStart)+wait)
 	}
-	granted, wait := p.ask(ctx, e, limit)
-	p.table.End(e.ID, time.Since(processStart)+wait)
 	if granted {
 		p.sent(e.ID, again)
 	}
--- a/entry/publish_test.go
+++ b/entry/publish_test.go
@@ -78,7 +78,7 @@
 	pool := link.NewPool(grpc.WithTransportCredentials(insecure.NewCredentials()))
 	t.Cleanup(func() { _ = pool.Close() })
 	reports := NewReports(Config{ReportInterval: 10 * time.Millisecond}, pool, table, load.New(load.Config{}, table),
-		prefix.New(prefix.Config{}), outlier.New(outlier.Config{}), lockstep.New(), unconfirmed{}, crashes, NewRateLimits(Config{}, table, slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+		prefix.New(prefix.Config{}), outlier.New(outlier.Config{}), lockstep.New(), unconfirmed{}, crashes, NewRateLimits(Config{}, table, NewAdmissions(Config{}), slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
 	names := map[string]string{}
 	for _, host := range hosts {
 		names[host] = host
--- a/entry/pushback_test.go
+++ b/entry/pushback_test.go
@@ -1,10 +1,14 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
+	"log/slog"
+	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -13,7 +17,11 @@
 
 	"github.com/matryer/is"
 
+	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/endpoint/pick"
+	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/standin"
 )
@@ -180,3 +188,57 @@
 	status, _, _ = f.answerOf(0)
 	is.Equal(status, http.StatusOK)
 }
+
+// leftPicker picks an endpoint unless that is excluded.
+type leftPicker struct{ endpoint endpoint.Endpoint }
+
+func (p leftPicker) Pick(_ time.Duration, _ *rand.Rand, r *pick.Request) (endpoint.Endpoint, pick.Explain, error) {
+	if slices.Contains(r.Exclude, p.endpoint.ID) {
+		return endpoint.Endpoint{}, pick.Explain{}, fault.New(fault.Unavailable, "all endpoints are excluded", "ask again")
+	}
+	return p.endpoint, pick.Explain{}, nil
+}
+
+// Guards against requests that an agent has to refuse one by one while its endpoint is in a pause:
+// who cannot wait for its end is refused at once, and who can is sent then.
+func TestAPauseThatAnAgentReportsIsKept(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		pause  time.Duration
+		served bool
+	}{{400 * time.Millisecond, true}, {time.Minute, false}} {
+		is := is.New(t)
+		var asked atomic.Int64
+		f := &fakes{}
+		f.agent = func(_ context.Context, _ *agentv1.DispatchRequest, send func(*agentv1.DispatchResponse)) error {
+			if asked.Add(1) == 1 {
+				send(&agentv1.DispatchResponse{Kind: &agentv1.DispatchResponse_Refused{Refused: &agentv1.Refused{
+					Kind: string(fault.RateLimited), RetryAfterMs: c.pause.Milliseconds(),
+				}}})
+				return io.EOF
+			}
+			send(headOf("text/plain", ""))
+			send(chunkOf(0, "done"))
+			send(endOf(4))
+			return io.EOF
+		}
+		s := f.server()
+		table := endpoint.NewTable()
+		only := endpoint.Endpoint{ID: "e1", Pool: "pool", AgentAddr: "agent", Incarnation: 5, Slots: 8, Revision: 1}
+		table.Apply([]endpoint.Endpoint{only}, nil)
+		s.Picker, s.RateLimits = leftPicker{only}, NewRateLimits(Config{}, table, NewAdmissions(Config{}), slog.New(slog.DiscardHandler))
+		s.config.DefaultDeadline = 5 * time.Second
+		began := time.Now()
+		w, _ := ask(s, t.Context(), chatPath, streamBody)
+		t.Logf("a pause of %v: %d after %v, %d dispatches, Retry-After %s", c.pause, w.Code, time.Since(began), asked.Load(), w.Header().Get("Retry-After"))
+		is.Equal(w.Code == http.StatusOK, c.served)
+		is.Equal(time.Since(began) >= c.pause, c.served)
+		if !c.served {
+			is.Equal(w.Header().Get("Retry-After"), "60")
+			is.Equal(asked.Load(), int64(1))
+			again, _ := ask(s, t.Context(), chatPath, streamBody)
+			is.Equal(again.Code, http.StatusServiceUnavailable)
+			is.Equal(asked.Load(), int64(1)) // the agent is not asked again
+		}
+	}
+}
--- a/entry/ratelimits.go
+++ b/entry/ratelimits.go
@@ -23,6 +23,7 @@
 	longestWait time.Duration
 	table       *ratelimit.Table
 	endpoints   *endpoint.Table
+	holds       Holds
 	logger      *slog.Logger
 	// limitedAttempts counts the attempts at endpoints that name a limit, pausedAttempts those at
 	// endpoints within a pause that these have asked for.
@@ -35,11 +36,17 @@
 	turns map[string]ratelimit.Turns
 }
 
+// Holds knows how long requests hold their places; Admissions are one.
+type Holds interface {
+	// Hold returns how long the requests of a pool hold their places in the mean.
+	Hold(pool string) time.Duration
+}
+
 // NewRateLimits returns RateLimits that know of no limit.
-func NewRateLimits(cfg Config, endpoints *endpoint.Table, logger *slog.Logger) *RateLimits {
+func NewRateLimits(cfg Config, endpoints *endpoint.Table, admissions *Admissions, logger *slog.Logger) *RateLimits {
 	l := &RateLimits{
 		peers: max(cfg.Peers, 1), longestWait: cmp.Or(cfg.MaxRetryAfter, longestRateWait), turns: map[string]ratelimit.Turns{},
-		table: ratelimit.NewTable(), endpoints: endpoints, logger: logger,
+		table: ratelimit.NewTable(), endpoints: endpoints, holds: admissions, logger: logger,
 		limitedAttempts: attemptCounts{
 			first:   metrics.GetOrCreateCounter(`lilackeel_entry_rate_limited_attempts_total{attempt="first"}`),
 			further: metrics.GetOrCreateCounter(`lilackeel_entry_rate_limited_attempts_total{attempt="further"}`),
@@ -98,6 +105,16 @@
 	}
 }
 
+// noteRejection takes in whether an endpoint has rejected a request and asked for a pause.
+func (l *RateLimits) noteRejection(id string, f ratelimit.Feedback) {
+	switch {
+	case f.Pause > 0:
+		l.pushedBack(id, f.Pause)
+	case !f.Rejected:
+		l.table.Taken(id, f.Sent)
+	}
+}
+
 // pushedBack takes in that an endpoint wants nothing for a pause.
 func (l *RateLimits) pushedBack(id string, pause time.Duration) {
 	l.pushbacks.Inc()
@@ -121,7 +138,21 @@
 
 // refused takes in that nothing may be sent to an endpoint for a time.
 func (l *RateLimits) refused(id string, wait time.Duration) {
-	l.table.End(id, time.Since(processStart)+wait)
+	l.table.Shut(id, time.Since(processStart)+wait)
+}
+
+// InPause implements routed.RateLimits.
+func (l *RateLimits) InPause(id string) bool { return l.table.InPause(time.Since(processStart), id) }
+
+// Paused returns the endpoints that have asked for a pause and have taken no request since, with
+// how long nothing may be sent to them.
+func (l *RateLimits) Paused() map[string]time.Duration {
+	now := time.Since(processStart)
+	paused := l.table.Paused(now)
+	for id, opens := range paused {
+		paused[id] = max(opens-now, 0)
+	}
+	return paused
 }
 
 // Closed returns the endpoints to which nothing may be sent now.
@@ -134,42 +165,58 @@
 // requests again later; nil otherwise.
 func (l *RateLimits) Refusal(pool string) *fault.Error { return l.refusal(pool, l.peers) }
 
-// refusal is Refusal for one of so many entries, which has its part of the pool's limits. Each
-// request is given a turn.
+// refusal is Refusal for one of so many entries, which has its part of what the pool takes. Each
+// request is given a turn, none before the first endpoint takes requests again.
 func (l *RateLimits) refusal(pool string, entries int) *fault.Error {
 	now := time.Since(processStart)
 	soonest, rate := l.opens(now, pool)
 	if soonest == 0 {
 		return nil
 	}
-	latest := now + max(l.longestWait, leastRateWait)
+	latest := max(soonest, now) + max(l.longestWait, leastRateWait)
 	l.mu.Lock()
 	turns := l.turns[pool]
 	turn := turns.Next(max(soonest, now+leastRateWait), latest, rate/float64(max(entries, 1)))
 	l.turns[pool] = turns
 	l.mu.Unlock()
-	return fault.New(fault.RateLimited, "not run: the endpoints that are left take no more requests a second",
+	return fault.New(fault.RateLimited, "not run: the endpoints that are left take no more requests for now",
 		"ask again after the time given, or add endpoints").After(turn - now)
 }
 
 // opens returns when the first endpoint of a pool takes a request again, zero if none is closed,
-// and the sum of the limits of those that are.
+// and how many requests a second those that are take then.
 func (l *RateLimits) opens(now time.Duration, pool string) (soonest time.Duration, rate float64) {
 	view := l.endpoints.Snapshot()
 	for _, id := range l.table.Closed(now) {
 		e, known := view.Get(id)
-		limit, limited := l.table.Limit(id)
-		if !known || !limited || e.Pool != pool {
+		if !known || e.Pool != pool || e.State != endpoint.Serving {
 			continue
 		}
-		rate += limit.Rate
-		if opens := l.table.Opens(id); soonest == 0 || opens < soonest {
+		rate += l.rateOf(e)
+		if opens := l.table.Opens(now, id); opens > 0 && (soonest == 0 || opens < soonest) {
 			soonest = opens
 		}
 	}
 	return soonest, rate
 }
 
+// rateOf is how many requests a second an endpoint takes from callers who come back: its limit or,
+// after a pause, a part of what its slots take, the rest being for those who ask first.
+func (l *RateLimits) rateOf(e *endpoint.Endpoint) float64 {
+	if limit, limited := l.table.Limit(e.ID); limited {
+		return limit.Rate
+	}
+	hold := max(l.holds.Hold(e.Pool), leastHold)
+	return returnShare * float64(max(e.Slots, 1)) / hold.Seconds()
+}
+
+const (
+	// returnShare is the part of an endpoint's slots that is for callers who come back.
+	returnShare = 0.4
+	// leastHold bounds how short requests are taken to be.
+	leastHold = time.Millisecond
+)
+
 // leastRateWait is the shortest time after which a caller is asked to come back, longestRateWait
 // the longest where the settings state none.
 const (
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -33,7 +33,7 @@
 	lockstepTracker := newGroups()
 	client := newFeed(cfg, v, logger)
 	quarantineTracker := quarantine.NewTracker()
-	rateLimits := NewRateLimits(cfg, table, logger)
+	rateLimits := NewRateLimits(cfg, table, admissions, logger)
 	reports := NewReports(cfg, pool, table, tracker, index, detector, lockstepTracker, client, quarantineTracker, rateLimits, logger)
 	parts := Parts{
 		Directory:  entryDirectory,
--- a/gate/admit.go
+++ b/gate/admit.go
@@ -103,6 +103,9 @@
 	if e.full() {
 		return nil, errFull(d.GetEndpoint())
 	}
+	if opens := e.pause.Opens(now); opens > 0 {
+		return nil, errPaused(d.GetEndpoint(), opens-now)
+	}
 	if refusal := g.checkRate(now, d); refusal != nil {
 		return nil, refusal
 	}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -51,8 +51,8 @@
 	state    fleetv1.EndpointState
 	// polled is when a poll was last admitted.
 	polled time.Duration
-	// until is the end of the pause that the endpoint has asked for.
-	until time.Duration
+	// pause is what the endpoint has asked for.
+	pause ratelimit.Pause
 }
 
 // Gate decides for the endpoints of one host under one incarnation of the
--- a/gate/rate.go
+++ b/gate/rate.go
@@ -22,19 +22,33 @@
 // PushedBack notes that an endpoint wants nothing for a pause.
 func (g *Gate) PushedBack(now time.Duration, endpoint string, pause time.Duration) {
 	if e := g.endpoints[endpoint]; e != nil {
-		e.until = max(e.until, now+pause)
+		e.pause.Extend(now, pause)
 	}
 }
 
-// Paused reports whether an endpoint has asked for a pause that has not ended.
-func (g *Gate) Paused(now time.Duration, endpoint string) bool {
-	e := g.endpoints[endpoint]
-	return e != nil && now < e.until
+// Taken notes that an endpoint has not rejected a request that was sent at a time.
+func (g *Gate) Taken(endpoint string, sent time.Duration) {
+	if e := g.endpoints[endpoint]; e != nil {
+		e.pause.Taken(sent)
+	}
+}
+
+// CheckSend lets one request of any kind be sent to an endpoint, unless that is in a pause. It is
+// asked for each of them right before it is sent.
+func (g *Gate) CheckSend(now time.Duration, endpoint string) *fault.Error {
+	if e := g.endpoints[endpoint]; e != nil && !e.pause.Take(now) {
+		return errPaused(endpoint, e.pause.Opens(now)-now)
+	}
+	return nil
 }
 
-// Ended notes that an endpoint's process has ended: the next one has named no limit.
+// Ended notes that an endpoint's process has ended: the next one has named no limit and
+// asked for no pause.
 func (g *Gate) Ended(now time.Duration, endpoint string) {
 	g.Named(now, endpoint, ratelimit.Limit{Rate: ratelimit.Unlimited, Since: now, At: now})
+	if e := g.endpoints[endpoint]; e != nil {
+		e.pause = ratelimit.Pause{}
+	}
 }
 
 // checkRate lets a dispatch pass if the endpoint's rate limit allows one more. An agent that
@@ -59,6 +73,9 @@
 func (g *Gate) AdmitPoll(now time.Duration, endpoint string) (ok, limited bool) {
 	e := g.endpoints[endpoint]
 	limit, limited := g.rates.Limit(endpoint)
+	if e != nil && e.pause.Opens(now) > 0 {
+		return false, limited
+	}
 	if e == nil || !limited {
 		return true, false
 	}
--- a/gate/refusal.go
+++ b/gate/refusal.go
@@ -45,6 +45,11 @@
 		"endpoint %q takes no more than %v requests a second", id, p.Limit).After(p.Wait)
 }
 
+func errPaused(id string, wait time.Duration) *fault.Error {
+	return fault.Newf(fault.RateLimited, "choose another endpoint or ask again after the time given",
+		"endpoint %q has asked for a pause", id).After(wait)
+}
+
 func errClosed() *fault.Error {
 	return fault.New(fault.Fenced, "the claim was closed before it could start", "claim again with a new claim id")
 }
--- a/rankhost/counting.go
+++ b/rankhost/counting.go
@@ -17,12 +17,13 @@
 		h.countedAt = time.Now()
 	}
 	h.mu.Unlock()
-	if holder == nil || !due {
+	if holder == nil || !due || h.quiet() > 0 {
 		return
 	}
 	limited, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
 	counts, err := h.cfg.Engine.Counts(limited)
+	h.pushedBack(err)
 	if err != nil {
 		h.cfg.Logger.Debug("cannot read the experts' counts", slog.Any("error", err))
 		return
--- a/rankhost/host.go
+++ b/rankhost/host.go
@@ -83,6 +83,8 @@
 	answered bool
 	// orderTime is how long the engine takes to answer an order; zero if none has been.
 	orderTime time.Duration
+	// quietUntil is the end of the pause that the engine has asked for.
+	quietUntil time.Time
 	// filled closes when the outbox gets a message.
 	filled chan struct{}
 	// changed closes when what is announced of the rank has changed.
@@ -128,7 +130,13 @@
 // look reads the engine, gives it the order that is due, and returns the pause
 // until the next look.
 func (h *Host) look(ctx context.Context) time.Duration {
+	if quiet := h.quiet(); quiet > 0 {
+		return quiet
+	}
 	err := h.read(ctx)
+	if h.pushedBack(err) {
+		return h.cfg.PollInterval
+	}
 	if fault.Is(err, fault.Corrupt) {
 		h.unreadable(err)
 		return h.cfg.PollInterval
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -32,6 +32,8 @@
 	Rate string
 	// Pause is for how long the endpoint wants nothing more from this sender; zero for no pause.
 	Pause time.Duration
+	// Rejected is true if the endpoint has not taken the request.
+	Rejected bool
 }
 
 // Limit is the rate that an endpoint named at some time between Since, when the request was
--- /dev/null
+++ b/ratelimit/pause.go
@@ -0,0 +1,57 @@
+package ratelimit
+
+import "time"
+
+// trialInterval is the time between two requests to an endpoint whose pause has ended, until it
+// takes one: all that wait for the end would otherwise come at once, and be rejected together.
+const trialInterval = 250 * time.Millisecond
+
+// Pause is the time for which an endpoint that has rejected a request wants nothing more from its
+// sender. After its end the endpoint gets one request at a time until it takes one. The zero
+// value is no pause; it is not safe for concurrent use.
+type Pause struct {
+	// until is the end of the pause, next the time before which no further trial is made.
+	until, next time.Duration
+	// trial is true from the beginning of a pause until the endpoint has taken a request.
+	trial bool
+}
+
+// Extend begins a pause, or prolongs it: each rejection counts by itself.
+func (p *Pause) Extend(now, pause time.Duration) {
+	p.until = max(p.until, now+pause)
+	p.trial = true
+}
+
+// Active reports whether the endpoint has not taken a request since it asked for the pause.
+func (p *Pause) Active() bool { return p.trial }
+
+// Opens returns when a request may be sent, zero if one may be now.
+func (p *Pause) Opens(now time.Duration) time.Duration {
+	opens := p.until
+	if p.trial {
+		opens = max(opens, p.next)
+	}
+	if opens <= now {
+		return 0
+	}
+	return opens
+}
+
+// Take lets a request pass if one may be sent now.
+func (p *Pause) Take(now time.Duration) bool {
+	if p.Opens(now) > 0 {
+		return false
+	}
+	if p.trial {
+		p.next = now + trialInterval
+	}
+	return true
+}
+
+// Taken notes that the endpoint has not rejected a request that was sent at a time. One that was
+// sent before the pause ended says nothing of what it takes now.
+func (p *Pause) Taken(sent time.Duration) {
+	if sent >= p.until {
+		p.trial = false
+	}
+}
--- /dev/null
+++ b/ratelimit/pause_test.go
@@ -0,0 +1,55 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestAPauseEndsWithATrial(t *testing.T) {
+	is := is.New(t)
+	var p Pause
+	is.True(p.Take(time.Second))
+	is.True(p.Take(time.Second))
+	p.Extend(time.Second, 2*time.Second)
+	p.Extend(1100*time.Millisecond, time.Second) // the longer one counts
+	is.Equal(p.Opens(2900*time.Millisecond), 3*time.Second)
+	is.True(!p.Take(2900 * time.Millisecond))
+	p.Taken(900 * time.Millisecond) // the answer to an earlier request
+	is.True(p.Active())
+	is.True(p.Take(3 * time.Second))
+	is.True(!p.Take(3 * time.Second)) // one at a time
+	is.True(p.Take(3*time.Second + trialInterval))
+	p.Taken(3 * time.Second)
+	is.True(!p.Active())
+	is.True(p.Take(3*time.Second + trialInterval))
+	is.True(p.Take(3*time.Second + trialInterval))
+}
+
+// Guards against requests beyond a pause in an entry's table, where limits are kept too.
+func TestATableKeepsPausesAndLimits(t *testing.T) {
+	is := is.New(t)
+	table := NewTable()
+	admission := func(now time.Duration, id string) Admission {
+		_, a := table.Begin(now, id)
+		return a
+	}
+	is.Equal(admission(0, "e1"), Open)
+	table.PushedBack(0, "e1", time.Second)
+	is.Equal(admission(0, "e1"), Shut)
+	is.Equal(table.Closed(0), []string{"e1"})
+	is.Equal(table.Opens(0, "e1"), time.Second)
+	table.Note("e1", Limit{Rate: 2, At: 1})
+	is.Equal(admission(999*time.Millisecond, "e1"), Shut) // a limit does not end a pause
+	is.Equal(admission(time.Second, "e1"), Ask)
+	table.End("e1", 5*time.Second)
+	table.Taken("e1", time.Second)
+	is.Equal(admission(2*time.Second, "e1"), Shut) // the end of a pause does not end a limit
+	table.Forget("e1")
+	is.Equal(admission(2*time.Second, "e1"), Open)
+	table.Shut("e2", 3*time.Second)
+	is.Equal(admission(2*time.Second, "e2"), Shut)
+	is.Equal(admission(3*time.Second, "e2"), Open)
+	is.Equal(len(table.Paused(0)), 0)
+}
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -27,16 +27,16 @@
 // record is what is known of one endpoint that names a limit or has asked for a pause, or did.
 type record struct {
 	limit Limit
-	// until is the end of the pause that the endpoint has asked for.
-	until time.Duration
+	// pause is what the endpoint has asked for.
+	pause Pause
 	// meanwhile counts the requests that were sent in the pause, meanwhileAgain those of them
 	// that were further attempts.
 	meanwhile, meanwhileAgain int
 	// sent and again count the requests that were sent since the limit was named, and those
 	// of them that were further attempts.
 	sent, again int
-	// opens is the time before which nothing may be sent; asking counts the questions for a
-	// permit that are under way.
+	// opens is the time before which nothing may be sent for other reasons; asking counts the
+	// questions for a permit that are under way.
 	opens  time.Duration
 	asking int
 }
@@ -103,30 +103,72 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.record(id)
-	begun = now >= r.until
+	begun = now >= r.pause.until
 	if begun {
-		former = Pushback{Former: r.until > 0, Sent: r.meanwhile, Again: r.meanwhileAgain}
+		former = Pushback{Former: r.pause.until > 0, Sent: r.meanwhile, Again: r.meanwhileAgain}
 		r.meanwhile, r.meanwhileAgain = 0, 0
 	}
-	r.until = max(r.until, now+pause)
+	r.pause.Extend(now, pause)
 	return former, begun
 }
 
-// Begin begins to ask for the permit to send a request to an endpoint, which End has to follow.
-// limited is false if the endpoint names no limit, and ask is false if nothing may be sent to it
-// now, in which cases there is nothing to ask.
-func (t *Table) Begin(now time.Duration, id string) (limit Limit, limited, ask bool) {
+// Taken notes that an endpoint has not rejected a request that was sent at a time.
+func (t *Table) Taken(id string, sent time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.endpoints[id]; r != nil {
+		r.pause.Taken(sent)
+	}
+}
+
+// Shut notes that nothing may be sent to an endpoint before opens, by the word of its agent.
+func (t *Table) Shut(id string, opens time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(id)
+	r.opens = max(r.opens, opens)
+}
+
+// Admission says whether a request may be sent to an endpoint.
+type Admission int
+
+const (
+	// Open: it may be sent.
+	Open Admission = iota
+	// Shut: nothing may be sent now.
+	Shut
+	// Ask: it may be sent with a permit, since the endpoint names a limit.
+	Ask
+)
+
+// Begin decides whether a request may be sent to an endpoint. After Ask, End has to follow.
+func (t *Table) Begin(now time.Duration, id string) (Limit, Admission) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.endpoints[id]
-	if r == nil || !r.limit.Limited() {
-		return Limit{}, false, false
+	switch {
+	case r == nil:
+		return Limit{Rate: Unlimited}, Open
+	case r.opensAt(now) > 0:
+		return r.limit, Shut
+	case r.limit.Limited() && r.asking >= maxAsking:
+		return r.limit, Shut
 	}
-	if now < r.opens || r.asking >= maxAsking {
-		return r.limit, true, false
+	r.pause.Take(now)
+	if !r.limit.Limited() {
+		return r.limit, Open
 	}
 	r.asking++
-	return r.limit, true, true
+	return r.limit, Ask
+}
+
+// opensAt returns when a request may be sent, zero if one may be now.
+func (r *record) opensAt(now time.Duration) time.Duration {
+	opens := max(r.opens, r.pause.Opens(now))
+	if opens <= now {
+		return 0
+	}
+	return opens
 }
 
 // End ends what Begin has begun: nothing is to be sent before opens.
@@ -145,19 +187,45 @@
 	defer t.mu.Unlock()
 	var closed []string
 	for id, r := range t.endpoints {
-		if r.limit.Limited() && now < r.opens {
+		if r.opensAt(now) > 0 {
 			closed = append(closed, id)
 		}
 	}
 	return closed
 }
 
-// Opens returns when something may be sent to an endpoint again, zero if it may now.
-func (t *Table) Opens(id string) time.Duration {
+// Paused returns the endpoints that have asked for a pause and have taken no request since, with
+// when one may be sent, zero for now.
+func (t *Table) Paused(now time.Duration) map[string]time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.endpoints[id]; r != nil && r.limit.Limited() {
-		return r.opens
+	var paused map[string]time.Duration
+	for id, r := range t.endpoints {
+		if !r.pause.Active() {
+			continue
+		}
+		if paused == nil {
+			paused = map[string]time.Duration{}
+		}
+		paused[id] = r.opensAt(now)
+	}
+	return paused
+}
+
+// InPause reports whether an endpoint has asked for a pause that has not ended.
+func (t *Table) InPause(now time.Duration, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.endpoints[id]
+	return r != nil && now < r.pause.until
+}
+
+// Opens returns when something may be sent to an endpoint, zero if it may now.
+func (t *Table) Opens(now time.Duration, id string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.endpoints[id]; r != nil {
+		return r.opensAt(now)
 	}
 	return 0
 }
@@ -195,7 +263,7 @@
 	if r == nil {
 		return false, false
 	}
-	limited, paused = r.limit.Limited(), now < r.until
+	limited, paused = r.limit.Limited(), now < r.pause.until
 	if limited {
 		count(&r.sent, &r.again, again)
 	}
--- a/ratelimit/world_test.go
+++ b/ratelimit/world_test.go
@@ -175,11 +175,11 @@
 
 // send sends a request if the entry's design lets it.
 func (w *world) send(e *worldEntry) {
-	limit, limited, ask := e.table.Begin(w.now, w.name())
+	limit, admission := e.table.Begin(w.now, w.name())
 	switch {
-	case !limited:
+	case admission == Open:
 		w.dispatch(e)
-	case !ask:
+	case admission == Shut:
 	case w.design == permits:
 		w.ask(e, limit, 0)
 	default:
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -60,7 +60,8 @@
 // feedback is what an answer says of the requests that its endpoint takes.
 func (a *attempt) feedback(r *direct.Response) ratelimit.Feedback {
 	pause, _ := ratelimit.RetryAfter(r.Status, r.Header)
-	return ratelimit.Feedback{Sent: a.started, Rate: r.Header.Get(a.server.config.Headers.RateLimit), Pause: pause}
+	names := a.server.config.Headers
+	return ratelimit.Feedback{Sent: a.started, Rate: r.Header.Get(names.RateLimit), Pause: pause, Rejected: isPromise(r.Status)}
 }
 
 // failure takes an endpoint's own word that it failed, which is delivered as it
@@ -90,9 +91,25 @@
 		s.Reach.Gone(a.target.ID)
 	}
 	f := fault.Newf(fault.Overloaded, "ask again after the time given", "the endpoint ran nothing and answered %d", r.Status)
+	if refusal := a.poolRefusal(); refusal != nil {
+		f = refusal
+	}
 	return failed(call.Rejected, f)
 }
 
+// poolRefusal is the fault of a request for which no endpoint is left until one takes requests
+// again; nil while there is another.
+func (a *attempt) poolRefusal() *fault.Error {
+	limits := a.server.RateLimits
+	if !limits.InPause(a.target.ID) {
+		return nil
+	}
+	if _, err := a.choose(limits.Closed()); err == nil {
+		return nil
+	}
+	return limits.Refusal(a.request.pool)
+}
+
 func isEventStream(header http.Header) bool {
 	return strings.HasPrefix(strings.ToLower(header.Get("Content-Type")), "text/event-stream")
 }
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -110,6 +111,9 @@
 	r := workspace.Request{
 		Workspace: q.workspace.GetName(), Priority: -q.priority, Deadline: q.deadline, Cost: q.work.PromptTokens + q.work.MaxTokens,
 	}
+	if refusal := x.pausedRefusal(); refusal != nil {
+		return nil, refusal
+	}
 	r.Patience = s.firsts.patience(q)
 	if q.inTime() {
 		release, err = s.Admitter.AdmitTo(ctx, q.pool, r)
@@ -122,6 +126,19 @@
 	return s.Admitter.AdmitLate(ctx, q.pool, r, max(left, oneLook))
 }
 
+// pausedRefusal refuses a request at once whose pool is in a pause that it cannot wait out.
+func (x *exchange) pausedRefusal() error {
+	s, q := x.server, x.request
+	reopens := s.placement.Load().reopens[q.pool]
+	if reopens-s.clock() <= q.patience() {
+		return nil
+	}
+	if refusal := s.RateLimits.Refusal(q.pool); refusal != nil {
+		return refusal
+	}
+	return nil
+}
+
 // oneLook is a patience that lets a request take what is free at once, and no more.
 const oneLook = time.Nanosecond
 
@@ -168,6 +185,10 @@
 	defer s.Groups.Done(a.group)
 	defer a.watch(cancel)()
 	response, err := s.Client.Send(ctx, target.Addr, x.message(&target))
+	if errors.Is(err, errPausedMeanwhile) {
+		a.done(false)
+		return failed(call.Unsent, errPausedMeanwhile)
+	}
 	if err != nil {
 		return a.unanswered(fault.From(err))
 	}
@@ -201,11 +222,11 @@
 		}
 		passedOver = append(passedOver, chosen.ID)
 	}
-	chosen, err := x.choose(s.RateLimits.Limited())
-	if err != nil {
-		err = x.notChosen(err, true)
+	chosen, err := x.choose(slices.Concat(s.RateLimits.Limited(), s.RateLimits.Closed(), passedOver))
+	if err != nil || !s.RateLimits.Admit(x.caller, &chosen, len(x.tried) > 0) {
+		return chosen, x.notChosen(err, true)
 	}
-	return chosen, err
+	return chosen, nil
 }
 
 // errPassedOver ends the search for an endpoint that takes one more request.
@@ -278,7 +299,22 @@
 	} else if given := q.header.Values(headerLastEvent); len(given) > 0 {
 		header[headerLastEvent] = given
 	}
-	return &direct.Request{Method: q.method, Target: q.target, Host: q.host, ID: q.id, Header: header, Body: q.body}
+	return &direct.Request{
+		Method: q.method, Target: q.target, Host: q.host, ID: q.id, Header: header, Body: q.body,
+		Check: func() error { return x.checkPause(target.ID) },
+	}
+}
+
+// errPausedMeanwhile ends an attempt whose endpoint has asked for a pause while its connection was
+// set up.
+var errPausedMeanwhile = fault.New(fault.RateLimited, "not run: the endpoint takes no more requests for now", "ask again after the time given")
+
+// checkPause returns errPausedMeanwhile if an endpoint is in a pause.
+func (x *exchange) checkPause(id string) error {
+	if x.server.RateLimits.InPause(id) {
+		return errPausedMeanwhile
+	}
+	return nil
 }
 
 func setNamed(header http.Header, name, value string) {
--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -55,6 +55,8 @@
 func (unlimited) Admit(context.Context, *endpoint.Endpoint, bool) bool { return true }
 func (unlimited) Limited() []string                                    { return nil }
 func (unlimited) Closed() []string                                     { return nil }
+func (unlimited) InPause(string) bool                                  { return false }
+func (unlimited) Paused() map[string]time.Duration                     { return nil }
 func (unlimited) Refusal(string) *fault.Error                          { return nil }
 
 // bed is an entry before endpoints that a test scripts.
--- /dev/null
+++ b/routed/pause_test.go
@@ -0,0 +1,41 @@
+package routed
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/endpoint/lockstep"
+)
+
+// Guards against requests that are let in for endpoints that have asked for a pause: they would
+// find none.
+func TestPlacesLeaveOutEndpointsInAPause(t *testing.T) {
+	is := is.New(t)
+	const limit, entries = 40, 1
+	load := func(paused, trials int) poolLoad {
+		var l poolLoad
+		for i := range 4 {
+			opens := 5 * time.Second
+			if i >= paused {
+				opens = 0
+			}
+			l.note(10, 2, i < paused+trials, opens)
+		}
+		l.own = 8
+		return l
+	}
+	is.Equal(load(0, 0).places(limit, entries), 40)
+	is.Equal(load(2, 0).places(limit, entries), 8+20-4) // what the two others hold
+	is.Equal(load(2, 2).places(limit, entries), 8+2)    // one each to try the two that are back
+	name := poolGroup{"pool", "g"}
+	is.Equal(len(reopenings(map[poolGroup]poolLoad{name: load(3, 0)})), 0)
+	is.Equal(len(reopenings(map[poolGroup]poolLoad{name: load(3, 1)})), 0)
+	all := map[poolGroup]poolLoad{name: load(4, 0)}
+	is.Equal(reopenings(all)["pool"], 5*time.Second)
+	all[poolGroup{"pool", "h"}] = load(0, 0)
+	is.Equal(len(reopenings(all)), 0)
+	closed := room{state: lockstep.Closed, places: load(4, 0).places(limit, entries)}
+	is.Equal(total([]room{closed}), Room{Opening: 40}) // so many may wait for its end
+}
--- a/routed/placement.go
+++ b/routed/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
@@ -26,7 +27,12 @@
 
 // placement says how many calls this entry may have in flight in each group of each
 // pool. It does not change.
-type placement struct{ pools map[string][]room }
+type placement struct {
+	pools map[string][]room
+	// reopens is when the first endpoint of each pool takes a request again, of those pools in
+	// which none does now.
+	reopens map[string]time.Duration
+}
 
 // room is what there is for this entry in one group.
 type room struct {
--- a/routed/server.go
+++ b/routed/server.go
@@ -48,10 +48,15 @@
 	// Admit reports whether one more request may be sent to an endpoint now, and counts it;
 	// again is true for a further attempt. It may ask a host.
 	Admit(ctx context.Context, e *endpoint.Endpoint, again bool) bool
-	// Limited returns the endpoints that name a limit, Closed those of them to which nothing
-	// may be sent now.
+	// Limited returns the endpoints that name a limit, Closed those to which nothing may be
+	// sent now.
 	Limited() []string
 	Closed() []string
+	// InPause reports whether an endpoint has asked for a pause that has not ended.
+	InPause(id string) bool
+	// Paused returns the endpoints that have asked for a pause and have taken no request since,
+	// with how long nothing may be sent to them.
+	Paused() map[string]time.Duration
 	// Refusal returns the fault of a request for which no endpoint of a pool is left, if some
 	// take requests again later; nil otherwise.
 	Refusal(pool string) *fault.Error
--- a/routed/throttle.go
+++ b/routed/throttle.go
@@ -113,6 +113,12 @@
 type poolLoad struct {
 	engines, slots, own int
 	running             float64
+	// paused counts the endpoints that have asked for a pause. The others, and those of them that
+	// may get one request as a trial, have open slots and run openRunning calls.
+	paused, open int
+	openRunning  float64
+	// reopens is when the first endpoint in a pause takes a request again.
+	reopens time.Duration
 }
 
 // Throttle sets the places of all pools anew, entries being the number of entries
@@ -145,7 +151,7 @@
 	loads := s.poolLoads(now)
 	s.throttle.retain(loads)
 	pauses, young := site.Pauses(table.Routes()), s.young(now)
-	next := &placement{pools: map[string][]room{}}
+	next := &placement{pools: map[string][]room{}, reopens: reopenings(loads)}
 	for _, pool := range table.Pools() {
 		next.pools[pool.GetName()] = nil
 	}
@@ -197,6 +203,9 @@
 		state = s.Groups.State(now, name.group, cfg.Pause)
 	}
 	limit, notable := s.throttle.update(name, now, cfg, load.running, state)
+	if load.open == 0 {
+		state = lockstep.Closed
+	}
 	r := room{group: name.group, state: state, places: load.places(limit, entries), own: load.own}
 	r.held = max(r.places-load.own-load.growth(cfg.Pause, entries), 0)
 	if notable {
@@ -213,9 +222,49 @@
 		return max(int(float64(p.own)*kept), 1)
 	}
 	free := limit - p.running
+	if p.paused > 0 && p.open > 0 {
+		free = min(free, max(float64(p.open)-p.openRunning, 0))
+	}
 	return p.own + int(math.Ceil(free*p.share(entries)))
 }
 
+// note adds an endpoint with the calls that run there. opens is when it takes a request again,
+// if it has asked for a pause.
+func (p *poolLoad) note(slots int, running float64, paused bool, opens time.Duration) {
+	p.engines++
+	p.slots += slots
+	p.running += running
+	switch {
+	case !paused:
+		p.open += slots
+		p.openRunning += running
+		return
+	case opens == 0:
+		p.open++ // a trial
+	}
+	if p.paused == 0 || opens < p.reopens {
+		p.reopens = opens
+	}
+	p.paused++
+}
+
+// reopenings returns when the first endpoint of each pool takes a request again, of those pools
+// whose endpoints are all in a pause.
+func reopenings(loads map[poolGroup]poolLoad) map[string]time.Duration {
+	open, reopens := map[string]bool{}, map[string]time.Duration{}
+	for name, load := range loads {
+		if load.open > 0 {
+			open[name.pool] = true
+			continue
+		}
+		if at, known := reopens[name.pool]; !known || load.reopens < at {
+			reopens[name.pool] = load.reopens
+		}
+	}
+	maps.DeleteFunc(reopens, func(pool string, _ time.Duration) bool { return open[pool] })
+	return reopens
+}
+
 // share is the part of a pool's free room that is for this entry: as much as it has
 // of the calls in flight, and no less than an equal part, which lets each entry begin.
 func (p poolLoad) share(entries int) float64 {
@@ -230,6 +279,7 @@
 func (s *Server) poolLoads(now time.Duration) map[poolGroup]poolLoad {
 	loads := map[poolGroup]poolLoad{}
 	view := s.Endpoints.Snapshot()
+	pauses := s.RateLimits.Paused()
 	for _, e := range view.All() {
 		if e.Addr == "" || e.State != endpoint.Serving || e.Silent {
 			continue
@@ -239,10 +289,13 @@
 		}
 		name := poolGroup{e.Pool, groupOf(s.Groups, e)}
 		load := loads[name]
-		load.engines++
-		load.slots += max(e.Slots, 1)
+		left, paused := pauses[e.ID]
+		opens := time.Duration(0)
+		if left > 0 {
+			opens = now + left
+		}
 		load.own += s.Loads.InFlight(e.ID)
-		load.running += s.Loads.Estimate(now, e.ID).Running
+		load.note(max(e.Slots, 1), s.Loads.Estimate(now, e.ID).Running, paused, opens)
 		loads[name] = load
 	}
 	return loads
