Failing tests: new work for endpoints whose answers say that they leave

An endpoint that is about to stop may say so in all its answers, before a control replica has heard of it. Stand-ins can now say it. The tests also ask that the next process at the address is used.

--- a/agent/engineapi/engineapi.go
+++ b/agent/engineapi/engineapi.go
@@ -16,7 +16,8 @@
 // first. An answer of any endpoint may name in Lilackeel-Rate-Limit the requests a second
 // that it takes, for as long as its answers say so. An endpoint that rejects a request with 503 and
 // Retry-After wants nothing more from its sender for that time; Lilackeel-Not-Run says that the
-// request did not run.
+// request did not run. Lilackeel-Leaving in an answer says that the endpoint is about to stop and
+// is to get no new work.
 package engineapi
 
 // Paths of the API.
@@ -34,6 +35,7 @@
 	HeaderResumeOffset = "X-Resume-Offset"
 	HeaderPriority     = "X-Priority"
 	HeaderRateLimit    = "Lilackeel-Rate-Limit"
+	HeaderLeaving      = "Lilackeel-Leaving"
 	HeaderNotRun       = "Lilackeel-Not-Run"
 )
 
--- a/agent/harness_test.go
+++ b/agent/harness_test.go
@@ -244,3 +244,18 @@
 		RequestId: "r", Attempt: 1, Endpoint: "engine", Method: http.MethodPost, Path: "/v1/completions", Body: []byte(body),
 	}
 }
+
+// listenAt listens at an address that has just become free.
+func listenAt(t testing.TB, addr string) net.Listener {
+	t.Helper()
+	var listener net.Listener
+	var err error
+	for range 100 {
+		if listener, err = net.Listen("tcp", addr); err == nil {
+			return listener
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(err)
+	return nil
+}
--- /dev/null
+++ b/agent/leaving_test.go
@@ -0,0 +1,60 @@
+package agent
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/standin"
+)
+
+// Guards against new calls to an endpoint behind an agent whose answers say that it leaves, and
+// against an endpoint that is kept out once another process answers.
+func TestAnAgentGivesWhatLeavesNoNewCalls(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	engine := standin.NewEngine(standin.EngineConfig{Slots: 64})
+	service := standin.NewService(0)
+	s := newSite(t, map[string]http.Handler{"engine": engine, "service": service})
+	engine.SetFaults(standin.Faults{Leaving: true})
+	service.SetFaults(standin.Faults{Leaving: true})
+	s.until("the engine's leaving is known by its polls", func() bool {
+		got := s.dispatch(completion(false, "1"))
+		return got.refusedKind() == fault.Leaving
+	})
+	s.dispatch(serviceCall(0))
+	got := s.dispatch(serviceCall(1))
+	is.Equal(got.refusedKind(), fault.Leaving)
+	engine.SetFaults(standin.Faults{})
+	s.until("another process of the engine answers its polls", func() bool { return s.dispatch(completion(false, "1")).end != nil })
+	service.SetFaults(standin.Faults{})
+	time.Sleep(100 * time.Millisecond)
+	got = s.dispatch(serviceCall(2))
+	is.Equal(got.refusedKind(), fault.Leaving) // a service is not polled while it listens
+}
+
+// Guards against a service that is kept out for good since its former process left.
+func TestTheNextProcessOfAServiceIsNotLeaving(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	service := standin.NewService(0)
+	s := newSite(t, map[string]http.Handler{"service": service})
+	service.SetFaults(standin.Faults{Leaving: true})
+	s.dispatch(serviceCall(0))
+	got := s.dispatch(serviceCall(1))
+	is.Equal(got.refusedKind(), fault.Leaving)
+	addr := s.servers[0].Listener.Addr().String()
+	s.servers[0].Close()
+	time.Sleep(100 * time.Millisecond)
+	service.SetFaults(standin.Faults{})
+	next := httptest.NewUnstartedServer(service)
+	_ = next.Listener.Close()
+	next.Listener = listenAt(t, addr)
+	next.Start()
+	t.Cleanup(next.Close)
+	s.until("the next process is called", func() bool { got := s.dispatch(serviceCall(2)); return got.end != nil })
+}
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -34,6 +34,8 @@
 	// RetryAfter rejects every request, polls and orders included, with 503 and this
 	// Retry-After; nothing runs.
 	RetryAfter string `json:"retry_after,omitempty"`
+	// Leaving says in every answer that the stand-in is about to stop.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // stallPoll is how often a stalled answer looks whether the stall is over.
@@ -66,10 +68,14 @@
 	f.set(faults)
 }
 
-// name names the limit in the answer that w begins.
+// name puts what every answer says of the stand-in into the answer that w begins.
 func (f *faultSwitch) name(w http.ResponseWriter) {
-	if limit := f.get().RateLimit; limit != "" {
-		w.Header().Set(engineapi.HeaderRateLimit, limit)
+	faults := f.get()
+	if faults.RateLimit != "" {
+		w.Header().Set(engineapi.HeaderRateLimit, faults.RateLimit)
+	}
+	if faults.Leaving {
+		w.Header().Set(engineapi.HeaderLeaving, "1")
 	}
 }
 
--- a/standin/service.go
+++ b/standin/service.go
@@ -64,6 +64,9 @@
 // SetFaults switches faults on or off.
 func (s *Service) SetFaults(f Faults) { s.faults.set(f) }
 
+// Faults returns the present faults.
+func (s *Service) Faults() Faults { return s.faults.get() }
+
 // Effects returns what has run, in order.
 func (s *Service) Effects() []Effect {
 	s.mu.Lock()
