Give endpoints that say in their answers that they leave no new work

An endpoint may say in all its answers that it is about to stop, before any control replica has heard of it.

Cause: the same class as the pauses, found beside them: no place took in what answers say of their endpoint. Change: the entry's table and the agent's gate take it in where they take in limits and pauses; the places of a pool leave such endpoints out. The word holds for one run: until another incarnation is announced or, behind an agent, until a later answer to a poll does not say it or a service takes no connection (its poller looks, as no call shows that). Drain reports to control go by the configuration alone, as before.

--- a/agent/client.go
+++ b/agent/client.go
@@ -142,6 +142,7 @@
 // answered takes in what an answer says of the requests that the endpoint takes.
 func (c *endpointClient) answered(e Endpoint, sent time.Duration, response *http.Response) {
 	c.lockedGate.named(e.ID, sent, response.Header.Get(engineapi.HeaderRateLimit))
+	c.lockedGate.saidLeaving(e.ID, sent, response.Header.Get(engineapi.HeaderLeaving) != "")
 	if pause, ok := ratelimit.RetryAfter(response.StatusCode, response.Header); ok {
 		c.lockedGate.pushedBack(e.ID, pause)
 		return
--- a/agent/lockedgate.go
+++ b/agent/lockedgate.go
@@ -100,6 +100,20 @@
 	k.gate.Taken(endpoint, sent)
 }
 
+// saidLeaving takes in whether an answer says that its endpoint is about to stop.
+func (k *lockedGate) saidLeaving(endpoint string, sent time.Duration, leaving bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.gate.SaidLeaving(k.clock.now(), endpoint, sent, leaving)
+}
+
+// goes reports whether an endpoint's answers say that it is about to stop.
+func (k *lockedGate) goes(endpoint string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.gate.Goes(endpoint)
+}
+
 // checkSend lets one request be sent to an endpoint, unless that is in a pause.
 func (k *lockedGate) checkSend(endpoint string) *fault.Error {
 	k.mu.Lock()
--- a/agent/poll.go
+++ b/agent/poll.go
@@ -92,12 +92,18 @@
 	}
 }
 
-// probe connects to a plain service whose last call found no connection.
+// probe connects to a plain service whose last call found no connection, or which leaves: it gets
+// no calls that would show its end.
 func (p *poller) probe(ctx context.Context) {
-	if !p.health.suspected(p.endpoint.ID) {
+	goes := p.lockedGate.goes(p.endpoint.ID)
+	if !goes && !p.health.suspected(p.endpoint.ID) {
 		return
 	}
-	p.health.note(p.endpoint.ID, p.client.connects(ctx, p.endpoint))
+	connects := p.client.connects(ctx, p.endpoint)
+	p.health.note(p.endpoint.ID, connects)
+	if goes && !connects {
+		p.lockedGate.ended(p.endpoint.ID)
+	}
 }
 
 // ownLoad reports the calls that the agent itself has in flight, for endpoints
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -57,7 +57,7 @@
 	if present, known := p.endpoints.Get(e.ID); !known || present.Incarnation != e.Incarnation {
 		return
 	}
-	p.noteRejection(e.ID, f)
+	p.noteFeedback(e.ID, f)
 	rate, ok := ratelimit.Parse(f.Rate)
 	if !ok {
 		return
--- a/entry/ratelimits.go
+++ b/entry/ratelimits.go
@@ -105,8 +105,12 @@
 	}
 }
 
-// noteRejection takes in whether an endpoint has rejected a request and asked for a pause.
-func (l *RateLimits) noteRejection(id string, f ratelimit.Feedback) {
+// noteFeedback takes in whether an endpoint has rejected a request and asked for a pause, and
+// whether it leaves.
+func (l *RateLimits) noteFeedback(id string, f ratelimit.Feedback) {
+	if f.Leaving && l.table.Leaving(id) {
+		l.logger.Info("an endpoint said that it leaves", slog.String("endpoint", id))
+	}
 	switch {
 	case f.Pause > 0:
 		l.pushedBack(id, f.Pause)
@@ -144,15 +148,9 @@
 // InPause implements routed.RateLimits.
 func (l *RateLimits) InPause(id string) bool { return l.table.InPause(time.Since(processStart), id) }
 
-// Paused returns the endpoints that have asked for a pause and have taken no request since, with
-// how long nothing may be sent to them.
-func (l *RateLimits) Paused() map[string]time.Duration {
-	now := time.Since(processStart)
-	paused := l.table.Paused(now)
-	for id, opens := range paused {
-		paused[id] = max(opens-now, 0)
-	}
-	return paused
+// Reserves implements routed.RateLimits.
+func (l *RateLimits) Reserves() map[string]ratelimit.Reserve {
+	return l.table.Reserves(time.Since(processStart))
 }
 
 // Closed returns the endpoints to which nothing may be sent now.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -53,6 +53,10 @@
 	polled time.Duration
 	// pause is what the endpoint has asked for.
 	pause ratelimit.Pause
+	// goes is true while the endpoint's answers say that it is about to stop, saidAt when one
+	// last did.
+	goes   bool
+	saidAt time.Duration
 }
 
 // Gate decides for the endpoints of one host under one incarnation of the
@@ -150,7 +154,7 @@
 func (g *Gate) Drain() Drain {
 	drain := Drain{InFlight: make(map[string]int32)}
 	for id, e := range g.endpoints {
-		if !g.stopping && !e.leaving() {
+		if !g.stopping && !e.draining() {
 			continue
 		}
 		if e.inFlight == 0 {
@@ -162,7 +166,11 @@
 	return drain
 }
 
-func (e *gated) leaving() bool {
+// leaving reports whether the endpoint gets no new work: by its own word, or since it is draining.
+func (e *gated) leaving() bool { return e.goes || e.draining() }
+
+// draining reports whether the configuration takes the endpoint out.
+func (e *gated) draining() bool {
 	return e.state == fleetv1.EndpointState_ENDPOINT_STATE_LEAVING ||
 		e.state == fleetv1.EndpointState_ENDPOINT_STATE_STOPPED
 }
--- a/gate/rate.go
+++ b/gate/rate.go
@@ -33,6 +33,25 @@
 	}
 }
 
+// SaidLeaving takes in whether an answer to a request that was sent at a time says that the
+// endpoint is about to stop. One that does not is of the next process, if it was asked later.
+func (g *Gate) SaidLeaving(now time.Duration, endpoint string, sent time.Duration, leaving bool) {
+	e := g.endpoints[endpoint]
+	switch {
+	case e == nil:
+	case leaving:
+		e.goes, e.saidAt = true, now
+	case sent > e.saidAt:
+		e.goes = false
+	}
+}
+
+// Goes reports whether an endpoint's answers say that it is about to stop.
+func (g *Gate) Goes(endpoint string) bool {
+	e := g.endpoints[endpoint]
+	return e != nil && e.goes
+}
+
 // CheckSend lets one request of any kind be sent to an endpoint, unless that is in a pause. It is
 // asked for each of them right before it is sent.
 func (g *Gate) CheckSend(now time.Duration, endpoint string) *fault.Error {
@@ -42,12 +61,12 @@
 	return nil
 }
 
-// Ended notes that an endpoint's process has ended: the next one has named no limit and
-// asked for no pause.
+// Ended notes that an endpoint's process has ended: the next one has named no limit,
+// asked for no pause and does not leave.
 func (g *Gate) Ended(now time.Duration, endpoint string) {
 	g.Named(now, endpoint, ratelimit.Limit{Rate: ratelimit.Unlimited, Since: now, At: now})
 	if e := g.endpoints[endpoint]; e != nil {
-		e.pause = ratelimit.Pause{}
+		e.pause, e.goes = ratelimit.Pause{}, false
 	}
 }
 
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -32,6 +32,8 @@
 	Rate string
 	// Pause is for how long the endpoint wants nothing more from this sender; zero for no pause.
 	Pause time.Duration
+	// Leaving is true if the endpoint says that it is about to stop.
+	Leaving bool
 	// Rejected is true if the endpoint has not taken the request.
 	Rejected bool
 }
--- a/ratelimit/pause_test.go
+++ b/ratelimit/pause_test.go
@@ -51,5 +51,10 @@
 	table.Shut("e2", 3*time.Second)
 	is.Equal(admission(2*time.Second, "e2"), Shut)
 	is.Equal(admission(3*time.Second, "e2"), Open)
-	is.Equal(len(table.Paused(0)), 0)
+	is.Equal(len(table.Reserves(0)), 0)
+	is.True(table.Leaving("e3"))
+	is.True(!table.Leaving("e3"))
+	is.Equal(admission(time.Hour, "e3"), Shut)
+	is.Equal(table.Opens(0, "e3"), time.Duration(0)) // never
+	is.Equal(table.Reserves(0), map[string]Reserve{"e3": {Leaving: true}})
 }
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -29,6 +29,8 @@
 	limit Limit
 	// pause is what the endpoint has asked for.
 	pause Pause
+	// leaving is set once the endpoint has said that it is about to stop.
+	leaving bool
 	// meanwhile counts the requests that were sent in the pause, meanwhileAgain those of them
 	// that were further attempts.
 	meanwhile, meanwhileAgain int
@@ -121,6 +123,16 @@
 	}
 }
 
+// Leaving notes that an endpoint is about to stop. It reports whether that is news.
+func (t *Table) Leaving(id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.record(id)
+	news := !r.leaving
+	r.leaving = true
+	return news
+}
+
 // Shut notes that nothing may be sent to an endpoint before opens, by the word of its agent.
 func (t *Table) Shut(id string, opens time.Duration) {
 	t.mu.Lock()
@@ -149,7 +161,7 @@
 	switch {
 	case r == nil:
 		return Limit{Rate: Unlimited}, Open
-	case r.opensAt(now) > 0:
+	case r.leaving, r.opensAt(now) > 0:
 		return r.limit, Shut
 	case r.limit.Limited() && r.asking >= maxAsking:
 		return r.limit, Shut
@@ -187,29 +199,38 @@
 	defer t.mu.Unlock()
 	var closed []string
 	for id, r := range t.endpoints {
-		if r.opensAt(now) > 0 {
+		if r.leaving || r.opensAt(now) > 0 {
 			closed = append(closed, id)
 		}
 	}
 	return closed
 }
 
-// Paused returns the endpoints that have asked for a pause and have taken no request since, with
-// when one may be sent, zero for now.
-func (t *Table) Paused(now time.Duration) map[string]time.Duration {
+// Reserve says why an endpoint does not take requests as usual.
+type Reserve struct {
+	// Leaving is true for one that is about to stop and gets nothing any more.
+	Leaving bool
+	// Opens is when one that has asked for a pause, and has taken no request since, may be sent
+	// one; zero for now.
+	Opens time.Duration
+}
+
+// Reserves returns the endpoints that do not take requests as usual, but for those that only name
+// a limit.
+func (t *Table) Reserves(now time.Duration) map[string]Reserve {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var paused map[string]time.Duration
+	var reserves map[string]Reserve
 	for id, r := range t.endpoints {
-		if !r.pause.Active() {
+		if !r.leaving && !r.pause.Active() {
 			continue
 		}
-		if paused == nil {
-			paused = map[string]time.Duration{}
+		if reserves == nil {
+			reserves = map[string]Reserve{}
 		}
-		paused[id] = r.opensAt(now)
+		reserves[id] = Reserve{Leaving: r.leaving, Opens: r.opensAt(now)}
 	}
-	return paused
+	return reserves
 }
 
 // InPause reports whether an endpoint has asked for a pause that has not ended.
@@ -220,11 +241,11 @@
 	return r != nil && now < r.pause.until
 }
 
-// Opens returns when something may be sent to an endpoint, zero if it may now.
+// Opens returns when something may be sent to an endpoint, zero if it may now or never.
 func (t *Table) Opens(now time.Duration, id string) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.endpoints[id]; r != nil {
+	if r := t.endpoints[id]; r != nil && !r.leaving {
 		return r.opensAt(now)
 	}
 	return 0
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -61,7 +61,10 @@
 func (a *attempt) feedback(r *direct.Response) ratelimit.Feedback {
 	pause, _ := ratelimit.RetryAfter(r.Status, r.Header)
 	names := a.server.config.Headers
-	return ratelimit.Feedback{Sent: a.started, Rate: r.Header.Get(names.RateLimit), Pause: pause, Rejected: isPromise(r.Status)}
+	return ratelimit.Feedback{
+		Sent: a.started, Rate: r.Header.Get(names.RateLimit), Pause: pause,
+		Leaving: names.Leaving != "" && r.Header.Get(names.Leaving) != "", Rejected: isPromise(r.Status),
+	}
 }
 
 // failure takes an endpoint's own word that it failed, which is delivered as it
--- a/routed/headers.go
+++ b/routed/headers.go
@@ -31,6 +31,9 @@
 	// RateLimit, from endpoints: the requests a second that the endpoint takes from all
 	// entries together, for as long as its answers say so.
 	RateLimit string
+	// Leaving, from endpoints: its presence says that the endpoint is about to stop and is to get
+	// no new work.
+	Leaving string
 	// Size reads the size of a model call: the prompt's tokens and the most that
 	// the answer may have. Nil or zeros: not known.
 	Size func(http.Header) (prompt, answer int)
@@ -47,6 +50,7 @@
 	Priority:  "Lilackeel-Engine-Priority",
 	NotRun:    engineapi.HeaderNotRun,
 	RateLimit: engineapi.HeaderRateLimit,
+	Leaving:   engineapi.HeaderLeaving,
 }
 
 // private returns the canonical names of the headers that end at the entry,
--- a/routed/server.go
+++ b/routed/server.go
@@ -41,7 +41,7 @@
 	Pick(now time.Duration, rng *rand.Rand, r *pick.Request) (endpoint.Endpoint, pick.Explain, error)
 }
 
-// RateLimits knows the limits that endpoints name.
+// RateLimits knows what endpoints say of the requests that they take.
 type RateLimits interface {
 	// Answered takes in what an answer of an endpoint says of the requests that it takes.
 	Answered(e *endpoint.Endpoint, f ratelimit.Feedback)
@@ -54,9 +54,9 @@
 	Closed() []string
 	// InPause reports whether an endpoint has asked for a pause that has not ended.
 	InPause(id string) bool
-	// Paused returns the endpoints that have asked for a pause and have taken no request since,
-	// with how long nothing may be sent to them.
-	Paused() map[string]time.Duration
+	// Reserves returns the endpoints that leave or have asked for a pause, with times of the
+	// server's clock.
+	Reserves() map[string]ratelimit.Reserve
 	// Refusal returns the fault of a request for which no endpoint of a pool is left, if some
 	// take requests again later; nil otherwise.
 	Refusal(pool string) *fault.Error
--- a/routed/throttle.go
+++ b/routed/throttle.go
@@ -279,9 +279,10 @@
 func (s *Server) poolLoads(now time.Duration) map[poolGroup]poolLoad {
 	loads := map[poolGroup]poolLoad{}
 	view := s.Endpoints.Snapshot()
-	pauses := s.RateLimits.Paused()
+	reserves := s.RateLimits.Reserves()
 	for _, e := range view.All() {
-		if e.Addr == "" || e.State != endpoint.Serving || e.Silent {
+		reserve, paused := reserves[e.ID]
+		if e.Addr == "" || e.State != endpoint.Serving || e.Silent || reserve.Leaving {
 			continue
 		}
 		if present, ok := view.At(e.Addr); ok && present.ID != e.ID {
@@ -289,13 +290,8 @@
 		}
 		name := poolGroup{e.Pool, groupOf(s.Groups, e)}
 		load := loads[name]
-		left, paused := pauses[e.ID]
-		opens := time.Duration(0)
-		if left > 0 {
-			opens = now + left
-		}
 		load.own += s.Loads.InFlight(e.ID)
-		load.note(max(e.Slots, 1), s.Loads.Estimate(now, e.ID).Running, paused, opens)
+		load.note(max(e.Slots, 1), s.Loads.Estimate(now, e.ID).Running, paused, reserve.Opens)
 		loads[name] = load
 	}
 	return loads
