Leave out endpoints that do not answer, on the evidence of all entries

Cause: an entry sends an engine of a large pool one request in some seconds. What it learns from it is of use to the others and does not reach them.

Change: package endpoint/suspicion. An entry publishes at hosts that all entries read that an endpoint has not answered. Two reporters within 3 s have it left out by all for a second; after that the entries try it at times of their own, and the first that is answered clears it for all. Own evidence of the last half second counts for more; more than a quarter of a pool suspected clears all. Nothing passes the control replicas.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -85,6 +85,7 @@
 	go d.tickOutliers(background)
 	countQuarantine(d.configurer.reports.crashes)
 	go d.configurer.reports.publishCrashReports(background)
+	go d.configurer.reports.publishSuspicions(background)
 	if d.config.Routed {
 		go d.throttle(background)
 	}
--- a/entry/first_places_test.go
+++ b/entry/first_places_test.go
@@ -17,6 +17,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
 	"github.com/lilackeel/lilackeel/endpoint/reach"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/routed"
@@ -37,7 +38,7 @@
 	c := &configurer{
 		directory: NewDirectory(), table: table, admissions: admissions, loads: loads, groups: groups, routed: server,
 		index: prefix.New(prefix.Config{}), outliers: outlier.New(outlier.Config{}), reach: reach.New(),
-		reports: NewReports(Config{}, nil, table, loads, nil, nil, groups, nil, quarantine.NewTracker(), limits, slog.New(slog.DiscardHandler)),
+		reports: NewReports(Config{}, nil, table, loads, nil, nil, groups, nil, quarantine.NewTracker(), limits, suspicion.NewTracker(1), slog.New(slog.DiscardHandler)),
 	}
 	delta := &fleetv1.Delta{ToRevision: 1, Site: &fleetv1.Site{
 		Version: 1, Pools: []*fleetv1.Pool{{Name: "pool", Engine: &fleetv1.EngineModel{Sets: 12, Slots: 10}}},
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"log/slog"
 	"time"
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
@@ -8,6 +9,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 )
 
 // Take takes in one report that came at the given time. What it says of
@@ -23,6 +25,9 @@
 	now := received.Sub(processStart)
 	p.mergeCrashReports(now, r.GetCrashReports())
 	p.limits.learn(now, r.GetRateLimits())
+	for _, run := range p.suspects.Merge(now, suspicion.FromProto(now, r.GetSuspicions())) {
+		p.logger.Info("several entries suspect an endpoint", slog.String("endpoint", endpoint.OfRun(run)))
+	}
 	view := p.table.Snapshot()
 	for _, l := range r.GetLoads() {
 		if l.GetGroup() != "" {
--- a/entry/intake_test.go
+++ b/entry/intake_test.go
@@ -17,6 +17,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/quarantine"
 )
 
@@ -47,7 +48,7 @@
 	f.Server = agents.server()
 	f.Loads, f.Index = load.New(load.Config{}, f.table), prefix.New(prefix.Config{Entries: 64})
 	f.Picker = pick.New(pick.Config{}, f.table, f.Loads, f.Index, f.Outliers)
-	f.reports = NewReports(Config{}, nil, f.table, f.Loads, f.Index, f.Outliers, lockstep.New(), unconfirmed{}, quarantine.NewTracker(), NewRateLimits(Config{}, f.table, NewAdmissions(Config{}), slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+	f.reports = NewReports(Config{}, nil, f.table, f.Loads, f.Index, f.Outliers, lockstep.New(), unconfirmed{}, quarantine.NewTracker(), NewRateLimits(Config{}, f.table, NewAdmissions(Config{}), slog.New(slog.DiscardHandler)), suspicion.NewTracker(1), slog.New(slog.DiscardHandler))
 	f.Knowledge = f.reports
 	var all []endpoint.Endpoint
 	for i := range ranks {
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
 	"github.com/lilackeel/lilackeel/call"
@@ -16,6 +18,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
 	"github.com/lilackeel/lilackeel/endpoint/reach"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/quarantine"
@@ -52,7 +55,7 @@
 // newRouted returns the server of the published site's routes.
 func newRouted(
 	cfg Config, table *endpoint.Table, loads *load.Tracker, outliers *outlier.Detector, picker *pick.Picker,
-	admissions *Admissions, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *Permits, logger *slog.Logger,
+	admissions *Admissions, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *Permits, suspects *suspicion.Tracker, logger *slog.Logger,
 ) *routed.Server {
 	policy := cfg.policy()
 	headers := cfg.Headers
@@ -67,11 +70,18 @@
 	}
 	parts := routed.Parts{
 		Admitter: admissions, Picker: picker, Endpoints: table, Loads: loads, Outliers: outliers,
-		Reach: reached, Groups: groups, Client: client, Quarantine: crashes, RateLimits: permits, Budget: call.NewBudget(cfg.budget()), Logger: logger,
+		Reach: reached, Groups: groups, Client: client, Quarantine: crashes, RateLimits: permits, Suspects: suspects, Budget: call.NewBudget(cfg.budget()), Logger: logger,
 	}
 	return routed.NewServer(settings, parts, func() time.Duration { return time.Since(processStart) })
 }
 
+// newSuspects returns what this entry knows of endpoints that do not answer.
+func newSuspects(cfg Config) *suspicion.Tracker {
+	suspects := suspicion.NewTracker(xxhash.Sum64String(cfg.Name))
+	metrics.GetOrCreateGauge(`lilackeel_entry_suspected_endpoints`, func() float64 { return float64(suspects.Len()) })
+	return suspects
+}
+
 func newReady() *telemetry.Ready { return telemetry.NewReady() }
 
 func newReach() *reach.Tracker { return reach.New() }
--- a/entry/publish.go
+++ b/entry/publish.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/wait"
 )
@@ -69,15 +70,45 @@
 	}
 }
 
+// publishSuspicions publishes the suspicions of this entry until ctx ends.
+func (p *Reports) publishSuspicions(ctx context.Context) {
+	ticker := time.NewTicker(publishRetry)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.suspects.Forget(time.Since(processStart))
+			continue
+		case <-p.suspects.Changed():
+		}
+		if published := p.suspects.Published(); len(published) > 0 {
+			p.atSomeHosts(ctx, func(ctx context.Context, host agentv1.AgentClient) error {
+				_, err := host.PublishSuspicions(ctx, &agentv1.PublishSuspicionsRequest{Suspicions: suspicion.ToProto(time.Since(processStart), published)})
+				return err
+			})
+		}
+		wait.For(ctx, publishPause)
+	}
+}
+
 // publishToSome publishes reports at some hosts. It returns false if none took them.
 func (p *Reports) publishToSome(ctx context.Context, reports []quarantine.CrashReport) bool {
+	return p.atSomeHosts(ctx, func(ctx context.Context, host agentv1.AgentClient) error {
+		_, err := host.PublishCrashReports(ctx, &agentv1.PublishCrashReportsRequest{CrashReports: quarantine.ToProto(time.Since(processStart), reports)})
+		return err
+	})
+}
+
+// atSomeHosts publishes something at some hosts. It returns false if none took it.
+func (p *Reports) atSomeHosts(ctx context.Context, publish func(context.Context, agentv1.AgentClient) error) bool {
 	hosts := p.hosts()
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	took := 0
 	for _, addr := range hosts[:min(len(hosts), publishTries)] {
-		request := &agentv1.PublishCrashReportsRequest{CrashReports: quarantine.ToProto(time.Since(processStart), reports)}
-		if err := p.publishTo(ctx, addr, request); err != nil {
-			p.logger.DebugContext(ctx, "a host did not take crash reports", slog.String("agent", addr), slog.Any("error", err))
+		if err := p.at(ctx, addr, publish); err != nil {
+			p.logger.DebugContext(ctx, "a host did not take what was published", slog.String("agent", addr), slog.Any("error", err))
 			continue
 		}
 		if took++; took == publishHosts {
@@ -87,15 +118,14 @@
 	return took > 0
 }
 
-func (p *Reports) publishTo(ctx context.Context, addr string, request *agentv1.PublishCrashReportsRequest) error {
+func (p *Reports) at(ctx context.Context, addr string, publish func(context.Context, agentv1.AgentClient) error) error {
 	connection, err := p.pool.Get(addr)
 	if err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, publishTimeout)
 	defer cancel()
-	_, err = agentv1.NewAgentClient(connection).PublishCrashReports(ctx, request)
-	return err
+	return publish(ctx, agentv1.NewAgentClient(connection))
 }
 
 // hosts returns the addresses whose reports are followed.
--- a/entry/publish_test.go
+++ b/entry/publish_test.go
@@ -18,6 +18,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/ratelimit"
@@ -35,6 +36,11 @@
 	return &agentv1.PublishCrashReportsResponse{}, nil
 }
 
+func (h *sharingHost) PublishSuspicions(_ context.Context, r *agentv1.PublishSuspicionsRequest) (*agentv1.PublishSuspicionsResponse, error) {
+	h.shared.PublishSuspicions(r)
+	return &agentv1.PublishSuspicionsResponse{}, nil
+}
+
 func (h *sharingHost) Permit(_ context.Context, r *agentv1.PermitRequest) (*agentv1.PermitResponse, error) {
 	return h.shared.Permit(r), nil
 }
@@ -78,7 +84,7 @@
 	pool := link.NewPool(grpc.WithTransportCredentials(insecure.NewCredentials()))
 	t.Cleanup(func() { _ = pool.Close() })
 	reports := NewReports(Config{ReportInterval: 10 * time.Millisecond}, pool, table, load.New(load.Config{}, table),
-		prefix.New(prefix.Config{}), outlier.New(outlier.Config{}), lockstep.New(), unconfirmed{}, crashes, NewRateLimits(Config{}, table, NewAdmissions(Config{}), slog.New(slog.DiscardHandler)), slog.New(slog.DiscardHandler))
+		prefix.New(prefix.Config{}), outlier.New(outlier.Config{}), lockstep.New(), unconfirmed{}, crashes, NewRateLimits(Config{}, table, NewAdmissions(Config{}), slog.New(slog.DiscardHandler)), suspicion.NewTracker(1), slog.New(slog.DiscardHandler))
 	names := map[string]string{}
 	for _, host := range hosts {
 		names[host] = host
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -86,7 +86,7 @@
 }
 
 // startEntry starts an entry, and callers that send it so many requests a second.
-func (f *limitedFleet) startEntry(rate float64) {
+func (f *limitedFleet) startEntry(rate float64) *Daemon {
 	f.t.Helper()
 	d, err := New(Config{
 		Name: fmt.Sprint("entry-", len(f.fronts)), Zone: "a", Listen: "127.0.0.1:0", Feed: []string{"127.0.0.1:1"}, Control: []string{"127.0.0.1:1"},
@@ -106,7 +106,9 @@
 		front.Close()
 		_ = d.pool.Close()
 	})
+	go d.configurer.reports.publishSuspicions(f.t.Context())
 	f.startCallers(front.URL, http.MethodGet, rate)
+	return d
 }
 
 // startCallers starts callers that send an entry so many requests a second.
--- a/entry/reports.go
+++ b/entry/reports.go
@@ -16,6 +16,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/wait"
@@ -60,6 +61,7 @@
 	freshness FreshnessSource
 	crashes   *quarantine.Tracker
 	limits    *RateLimits
+	suspects  *suspicion.Tracker
 	logger    *slog.Logger
 
 	mu sync.Mutex
@@ -73,9 +75,9 @@
 }
 
 // NewReports returns Reports that follow no agent yet.
-func NewReports(cfg Config, pool *link.Pool, table *endpoint.Table, loads *load.Tracker, index *prefix.Index, outliers *outlier.Detector, groups *lockstep.Tracker, freshness FreshnessSource, crashes *quarantine.Tracker, limits *RateLimits, logger *slog.Logger) *Reports {
+func NewReports(cfg Config, pool *link.Pool, table *endpoint.Table, loads *load.Tracker, index *prefix.Index, outliers *outlier.Detector, groups *lockstep.Tracker, freshness FreshnessSource, crashes *quarantine.Tracker, limits *RateLimits, suspects *suspicion.Tracker, logger *slog.Logger) *Reports {
 	return &Reports{
-		config: cfg, pool: pool, table: table, loads: loads, index: index, outliers: outliers, groups: groups, freshness: freshness, crashes: crashes, limits: limits, logger: logger,
+		config: cfg, pool: pool, table: table, loads: loads, index: index, outliers: outliers, groups: groups, freshness: freshness, crashes: crashes, limits: limits, suspects: suspects, logger: logger,
 		readers: map[string]int{}, engines: map[string][]string{}, tickets: map[string]ticket{}, stops: map[string]context.CancelFunc{}, names: map[string]string{},
 	}
 }
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -18,7 +18,7 @@
 	wire.Build(
 		newDialOptions, NewPool, newFeed, NewDirectory, endpoint.NewTable, newTracker, newIndex, newDetector, newPicker,
 		NewAgents, NewClaims, NewReports, NewAdmissions, NewServer, newReady, newRelay, listen,
-		newReach, newGroups, newDirectClient, newRouted, quarantine.NewTracker, NewRateLimits, NewPermits,
+		newReach, newGroups, newDirectClient, newRouted, quarantine.NewTracker, NewRateLimits, NewPermits, newSuspects,
 		wire.Bind(new(Admitter), new(*Admissions)),
 		wire.Bind(new(Picker), new(*pick.Picker)),
 		wire.Bind(new(Knowledge), new(*Reports)),
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -34,7 +34,8 @@
 	client := newFeed(cfg, v, logger)
 	quarantineTracker := quarantine.NewTracker()
 	rateLimits := NewRateLimits(cfg, table, admissions, logger)
-	reports := NewReports(cfg, pool, table, tracker, index, detector, lockstepTracker, client, quarantineTracker, rateLimits, logger)
+	suspicionTracker := newSuspects(cfg)
+	reports := NewReports(cfg, pool, table, tracker, index, detector, lockstepTracker, client, quarantineTracker, rateLimits, suspicionTracker, logger)
 	parts := Parts{
 		Directory:  entryDirectory,
 		Admitter:   admissions,
@@ -53,7 +54,7 @@
 	reachTracker := newReach()
 	directClient := newDirectClient()
 	permits := NewPermits(rateLimits, reports, pool)
-	routedServer := newRouted(cfg, table, tracker, detector, picker, admissions, reachTracker, lockstepTracker, directClient, quarantineTracker, permits, logger)
+	routedServer := newRouted(cfg, table, tracker, detector, picker, admissions, reachTracker, lockstepTracker, directClient, quarantineTracker, permits, suspicionTracker, logger)
 	entryRelay, err := newRelay(cfg, client, logger)
 	if err != nil {
 		return nil, err
--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -129,6 +129,12 @@
 	return &agentv1.PublishCrashReportsResponse{}, nil
 }
 
+// PublishSuspicions implements agentv1.AgentServer.
+func (s *service) PublishSuspicions(_ context.Context, r *agentv1.PublishSuspicionsRequest) (*agentv1.PublishSuspicionsResponse, error) {
+	s.shared.PublishSuspicions(r)
+	return &agentv1.PublishSuspicionsResponse{}, nil
+}
+
 // Permit implements agentv1.AgentServer.
 func (s *service) Permit(_ context.Context, r *agentv1.PermitRequest) (*agentv1.PermitResponse, error) {
 	return s.shared.Permit(r), nil
--- a/routed/attempt.go
+++ b/routed/attempt.go
@@ -39,7 +39,7 @@
 	failing := !left && !late && !a.moved.Load()
 	a.done(failing)
 	if failing {
-		s.Reach.Failed(now, a.target.ID)
+		a.noteSilent(now)
 	}
 	if f.Kind == fault.Unavailable && !a.moved.Load() {
 		return failed(call.Unsent, f)
@@ -48,6 +48,12 @@
 	return a.cut(f)
 }
 
+// noteSilent notes that the endpoint has not answered.
+func (a *attempt) noteSilent(now time.Duration) {
+	a.server.Reach.Failed(now, a.target.ID)
+	a.server.Suspects.Failed(now, a.target.Run())
+}
+
 // cut is how an attempt ends that may have run and has brought no whole answer.
 func (a *attempt) cut(f *fault.Error) attemptResult {
 	result := failed(call.Ran, f)
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -30,6 +30,8 @@
 	names := s.config.Headers
 	if r.Status != http.StatusMisdirectedRequest {
 		s.Reach.Worked(a.target.ID)
+		s.Reach.Heard(s.clock(), a.target.ID)
+		s.Suspects.Answered(s.clock(), a.started, a.target.Run())
 		s.RateLimits.Answered(&a.target, a.feedback(r))
 	}
 	if r.Status == http.StatusMisdirectedRequest || names.NotRun != "" && r.Header.Get(names.NotRun) != "" {
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -257,6 +257,7 @@
 		e, known := view.Get(id)
 		return !known || e.Silent
 	})
+	out = append(out, s.suspects(now, view, q.pool)...)
 	wanted := pick.Request{
 		Pool: q.pool, Workspace: q.workspace.GetName(), Zone: s.config.Zone, Priority: q.priority,
 		PromptTokens: q.work.PromptTokens, MaxTokens: q.work.MaxTokens, Exclude: slices.Concat(out, x.tried, passOver),
--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -25,6 +25,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
 	"github.com/lilackeel/lilackeel/endpoint/reach"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/ratelimit"
@@ -101,7 +102,7 @@
 		Backoff: call.Backoff{Base: time.Millisecond, Max: time.Millisecond},
 	}, Parts{
 		Admitter: open{}, Picker: pick.New(pick.Config{}, b.table, loads, prefix.New(prefix.Config{}), outliers),
-		Endpoints: b.table, Loads: loads, Outliers: outliers, Reach: reach.New(), Groups: lockstep.New(), Quarantine: quarantine.NewTracker(), RateLimits: unlimited{}, Client: direct.NewClient(direct.Config{}),
+		Endpoints: b.table, Loads: loads, Outliers: outliers, Reach: reach.New(), Groups: lockstep.New(), Quarantine: quarantine.NewTracker(), RateLimits: unlimited{}, Suspects: suspicion.NewTracker(1), Client: direct.NewClient(direct.Config{}),
 		Budget: call.NewBudget(call.BudgetConfig{Ratio: 0.2, Burst: 100}), Logger: slog.New(slog.DiscardHandler),
 	}, func() time.Duration { return time.Since(began) })
 	b.server.Publish(site.NewTable(bedSite()))
--- a/routed/move.go
+++ b/routed/move.go
@@ -49,7 +49,7 @@
 	silent := w.silent()
 	if silent && !w.reported {
 		w.reported = true
-		w.server.Reach.Failed(w.server.clock(), w.target.ID)
+		w.noteSilent(w.server.clock())
 	}
 	if (silent || w.stalled() || w.cannotEnd()) && w.mayMove() && w.server.Budget.Withdraw(w.server.clock()) {
 		w.moved.Store(true)
--- a/routed/placement.go
+++ b/routed/placement.go
@@ -32,6 +32,8 @@
 	// reopens is when the first endpoint of each pool takes a request again, of those pools in
 	// which none does now.
 	reopens map[string]time.Duration
+	// sizes is how many endpoints each pool has.
+	sizes map[string]int
 }
 
 // room is what there is for this entry in one group.
--- a/routed/server.go
+++ b/routed/server.go
@@ -17,6 +17,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/reach"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/ratelimit"
@@ -98,9 +99,11 @@
 	// Quarantine knows the requests under which endpoints have ended.
 	Quarantine *quarantine.Tracker
 	RateLimits RateLimits
-	Client     *direct.Client
-	Budget     *call.Budget
-	Logger     *slog.Logger
+	// Suspects are endpoints that do not answer, on the evidence of all entries.
+	Suspects *suspicion.Tracker
+	Client   *direct.Client
+	Budget   *call.Budget
+	Logger   *slog.Logger
 }
 
 // Server answers callers. It is an http.Handler.
--- a/routed/throttle.go
+++ b/routed/throttle.go
@@ -125,6 +125,7 @@
 // that share them. It has to be called every ThrottleInterval.
 func (s *Server) Throttle(places Places, entries int) {
 	s.Budget.Share(entries)
+	s.Suspects.SetEntries(entries)
 	s.setPlaces(s.table.Load(), places, entries)
 }
 
@@ -151,7 +152,7 @@
 	loads := s.poolLoads(now)
 	s.throttle.retain(loads)
 	pauses, young := site.Pauses(table.Routes()), s.young(now)
-	next := &placement{pools: map[string][]room{}, reopens: reopenings(loads)}
+	next := &placement{pools: map[string][]room{}, reopens: reopenings(loads), sizes: sizes(loads)}
 	for _, pool := range table.Pools() {
 		next.pools[pool.GetName()] = nil
 	}
@@ -248,6 +249,15 @@
 	p.paused++
 }
 
+// sizes returns how many endpoints each pool has.
+func sizes(loads map[poolGroup]poolLoad) map[string]int {
+	sizes := map[string]int{}
+	for name, load := range loads {
+		sizes[name.pool] += load.engines
+	}
+	return sizes
+}
+
 // reopenings returns when the first endpoint of each pool takes a request again, of those pools
 // whose endpoints are all in a pause.
 func reopenings(loads map[poolGroup]poolLoad) map[string]time.Duration {
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,6 +1,6 @@
 // Package sharing keeps what entries share through the hosts whose load reports they all read:
-// crash reports, and the rate limits that endpoints name. A host passes both on to all entries,
-// and permits the requests to limited endpoints one by one. The control replicas have no part
+// crash reports, the rate limits that endpoints name, and suspicions of endpoints that do not answer.
+// A host passes them on to all entries, and permits the requests to limited endpoints one by one. The control replicas have no part
 // in it, so that an entry that is cut off from them takes part.
 package sharing
 
@@ -8,15 +8,17 @@
 	"time"
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/ratelimit"
 )
 
 // Host is the part of a host's service that entries share. It is safe for concurrent use.
 type Host struct {
-	clock   func() time.Duration
-	crashes *quarantine.Registry
-	limits  *ratelimit.Arbiter
+	clock      func() time.Duration
+	crashes    *quarantine.Registry
+	limits     *ratelimit.Arbiter
+	suspicions suspicion.Log
 }
 
 // NewHost returns a host that knows nothing but what the arbiter knows, whose times are those
@@ -30,6 +32,12 @@
 	h.crashes.Publish(h.clock(), r.GetCrashReports())
 }
 
+// PublishSuspicions takes in the suspicions of an entry.
+func (h *Host) PublishSuspicions(r *agentv1.PublishSuspicionsRequest) {
+	now := h.clock()
+	h.suspicions.Add(now, suspicion.FromProto(now, r.GetSuspicions()))
+}
+
 // Permit answers the wish of an entry to send a request to an endpoint that names a limit.
 func (h *Host) Permit(r *agentv1.PermitRequest) *agentv1.PermitResponse {
 	now := h.clock()
@@ -48,8 +56,8 @@
 
 // Reader reads what entries share, for one reader of the host's reports.
 type Reader struct {
-	host            *Host
-	crashes, limits uint64
+	host                        *Host
+	crashes, limits, suspicions uint64
 }
 
 // Reader takes in what a new reader knows, and returns its position.
@@ -73,5 +81,8 @@
 	for _, named := range limits {
 		report.RateLimits = append(report.RateLimits, ratelimit.ToProto(now, named))
 	}
-	return len(report.GetCrashReports())+len(limits) > 0
+	var suspicions []suspicion.Report
+	suspicions, r.suspicions = r.host.suspicions.Since(r.suspicions)
+	report.Suspicions = suspicion.ToProto(now, suspicions)
+	return len(report.GetCrashReports())+len(limits)+len(suspicions) > 0
 }
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -34,6 +34,8 @@
 	// RetryAfter rejects every request, polls and orders included, with 503 and this
 	// Retry-After; nothing runs.
 	RetryAfter string `json:"retry_after,omitempty"`
+	// Refuse ends the connection of every request without an answer.
+	Refuse bool `json:"refuse,omitempty"`
 	// Leaving says in every answer that the stand-in is about to stop.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -81,8 +83,15 @@
 
 // rejects answers a request that the faults reject, and reports whether they do.
 func (f *faultSwitch) rejects(w http.ResponseWriter, r *http.Request) bool {
-	pause := f.get().RetryAfter
-	if pause == "" || isOwnAPI(r) {
+	faults := f.get()
+	if isOwnAPI(r) {
+		return false
+	}
+	if faults.Refuse {
+		panic(http.ErrAbortHandler)
+	}
+	pause := faults.RetryAfter
+	if pause == "" {
 		return false
 	}
 	w.Header().Set(engineapi.HeaderNotRun, "1")
