Keep calls off ways that lose packets

Callers get late answers while a zone's links to the others lose packets: a part that is lost comes a retransmission later, and pauses of 120 ms are promised.

Cause: the choice of an endpoint knows the round trip to its zone and nothing of what the way does to an answer.

Change: an entry adds up, by the zone that parts come from, how much later they are than promised and than their group's passes; the delay expected of an answer is a cost of the zone. What all zones have alike cancels out, 20 ms are let pass, and a zone without calls counts as sound again after a while.

--- a/endpoint/pick/pick.go
+++ b/endpoint/pick/pick.go
@@ -29,6 +29,8 @@
 	Workspace string
 	// Zone is the availability zone of the entry.
 	Zone string
+	// PathDelays is by how much an answer is expected to be late on the way from each zone.
+	PathDelays map[string]time.Duration
 	// Priority is the priority inside the workspace; higher goes first. It does
 	// not change the choice; it is passed on to the engine.
 	Priority int
--- a/endpoint/pick/zone.go
+++ b/endpoint/pick/zone.go
@@ -13,8 +13,9 @@
 
 // Cost implements Scorer.
 func (s Zone) Cost(q *Query, c *Candidate) time.Duration {
+	delay := q.PathDelays[c.Endpoint.Zone]
 	if q.Zone == "" || q.Zone == c.Endpoint.Zone {
-		return 0
+		return delay
 	}
-	return s.OtherZone
+	return s.OtherZone + delay
 }
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -240,6 +240,7 @@
 		a.server.firsts.observe(a.request.pool, now-a.started)
 		a.server.Loads.FirstToken(now, &a.load)
 	default:
+		a.observePath(now, pause)
 		a.server.throttle.observe(poolGroup{a.target.Pool, a.group}, now, pause)
 	}
 	a.begun.Store(true)
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -261,7 +261,8 @@
 	wanted := pick.Request{
 		Pool: q.pool, Workspace: q.workspace.GetName(), Zone: s.config.Zone, Priority: q.priority,
 		PromptTokens: q.work.PromptTokens, MaxTokens: q.work.MaxTokens, Exclude: slices.Concat(out, x.tried, passOver),
-		Allow: s.placement.Load().allow(s.Groups, q.pool, q.inTime()),
+		PathDelays: s.paths.delays(now, s.lengths.left(q.pool, 0)),
+		Allow:      s.placement.Load().allow(s.Groups, q.pool, q.inTime()),
 	}
 	chosen, _, err := s.Picker.Pick(now, sharedRand, &wanted)
 	if err != nil && wanted.Allow != nil {
--- a/routed/server.go
+++ b/routed/server.go
@@ -120,6 +120,8 @@
 	firsts firstParts
 	// lengths is how many parts streams have.
 	lengths streamLengths
+	// paths is how late parts come on the way from each zone.
+	paths pathDelays
 	// placement says which groups calls go to.
 	placement atomic.Pointer[placement]
 	clock     func() time.Duration
