--- a/endpoint/suspicion/suspicion.go
+++ b/endpoint/suspicion/suspicion.go
@@ -8,7 +8,7 @@
 // that for all.
 //
 // What one entry alone reports may be the fault of its own link. What is reported of many endpoints
-// of a pool at once is not theirs either: then nobody is left out on the word of others.
+// of a pool at once is not theirs either: then no endpoint is left out by the reports of others.
 //
 // Times are durations since an arbitrary start, monotonic. Nothing here blocks.
 package suspicion
@@ -23,19 +23,19 @@
 	// confirmations is how many entries must have reported an endpoint, within confirmWindow.
 	confirmations = 2
 	confirmWindow = 3 * time.Second
-	// trialPause is how long an endpoint is left out at least after a confirmed report, and
-	// trialTime how long a trial takes until all know its outcome: trials are spread so that
+	// probePause is how long an endpoint is left out at least after a confirmed report, and
+	// probeTime how long a probe takes until all know its outcome: probes are spread so that
 	// about one falls into that time.
-	trialPause = time.Second
-	trialTime  = 750 * time.Millisecond
-	// longestSpread bounds the time over which the entries' trials are spread.
+	probePause = time.Second
+	probeTime  = 750 * time.Millisecond
+	// longestSpread bounds the time over which the entries' probes are spread.
 	longestSpread = 8 * time.Second
 	// memory is how long a report is of use.
 	memory = 15 * time.Second
 	// maxEndpoints bounds the endpoints that are remembered, maxReporters the reporters of each.
 	maxEndpoints = 4096
 	maxReporters = 8
-	// largestPart is the part of a pool that may be left out on the word of others.
+	// largestPart is the part of a pool that may be left out by the reports of others.
 	largestPart = 0.25
 )
 
@@ -141,7 +141,7 @@
 	before := known.confirmed
 	known.confirmed = before || known.reporters() >= confirmations
 	if known.confirmed {
-		known.until = max(known.until, report.At+trialPause+rand.N(t.spread()))
+		known.until = max(known.until, report.At+probePause+rand.N(t.spread()))
 	}
 	return known.confirmed && !before
 }
@@ -157,9 +157,9 @@
 	return count
 }
 
-// spread is the time over which the entries' trials are spread; the lock is held.
+// spread is the time over which the entries' probes are spread; the lock is held.
 func (t *Tracker) spread() time.Duration {
-	return min(time.Duration(t.entries)*trialTime, longestSpread)
+	return min(time.Duration(t.entries)*probeTime, longestSpread)
 }
 
 // Out returns the runs of a pool's endpoints to leave out now on the evidence of several entries, in
--- a/endpoint/suspicion/world_test.go
+++ b/endpoint/suspicion/world_test.go
@@ -22,7 +22,7 @@
 	// fails says whether a request of an entry to an endpoint is not answered now.
 	fails func(entry, endpoint int) bool
 	// hurt counts requests that were not answered, leftOut the choices of sound endpoints that
-	// were left out on the word of others, and sent all requests.
+	// were left out by the reports of others, and sent all requests.
 	hurt, leftOut, sent int
 	events              []event
 }
@@ -173,7 +173,7 @@
 	}
 }
 
-// Guards against sound endpoints that are left out on the word of others: of an entry whose own link
+// Guards against sound endpoints that are left out by the reports of others: of an entry whose own link
 // is bad, where a whole pool is silent for a while, and after that.
 func TestSoundEndpointsAreNotLeftOut(t *testing.T) {
 	const entries, endpoints, perSecond = 13, 64, 220
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -166,7 +166,7 @@
 	return drain
 }
 
-// leaving reports whether the endpoint gets no new work: by its own word, or since it is draining.
+// leaving reports whether the endpoint gets no new work: as its answers say, or since it is draining.
 func (e *gated) leaving() bool { return e.goes || e.draining() }
 
 // draining reports whether the configuration takes the endpoint out.
--- a/ratelimit/pause_test.go
+++ b/ratelimit/pause_test.go
@@ -7,7 +7,7 @@
 	"github.com/matryer/is"
 )
 
-func TestAPauseEndsWithATrial(t *testing.T) {
+func TestAPauseEndsWithAProbe(t *testing.T) {
 	is := is.New(t)
 	var p Pause
 	is.True(p.Take(time.Second))
@@ -20,11 +20,11 @@
 	is.True(p.Active())
 	is.True(p.Take(3 * time.Second))
 	is.True(!p.Take(3 * time.Second)) // one at a time
-	is.True(p.Take(3*time.Second + trialInterval))
+	is.True(p.Take(3*time.Second + probeInterval))
 	p.Taken(3 * time.Second)
 	is.True(!p.Active())
-	is.True(p.Take(3*time.Second + trialInterval))
-	is.True(p.Take(3*time.Second + trialInterval))
+	is.True(p.Take(3*time.Second + probeInterval))
+	is.True(p.Take(3*time.Second + probeInterval))
 }
 
 // Guards against requests beyond a pause in an entry's table, where limits are kept too.
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -133,7 +133,7 @@
 	return news
 }
 
-// Shut notes that nothing may be sent to an endpoint before opens, by the word of its agent.
+// Shut notes that nothing may be sent to an endpoint before opens.
 func (t *Table) Shut(id string, opens time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/routed/throttle.go
+++ b/routed/throttle.go
@@ -114,7 +114,7 @@
 	engines, slots, own int
 	running             float64
 	// paused counts the endpoints that have asked for a pause. The others, and those of them that
-	// may get one request as a trial, have open slots and run openRunning calls.
+	// may get one request as a probe, have open slots and run openRunning calls.
 	paused, open int
 	openRunning  float64
 	// reopens is when the first endpoint in a pause takes a request again.
@@ -241,7 +241,7 @@
 		p.openRunning += running
 		return
 	case opens == 0:
-		p.open++ // a trial
+		p.open++ // a probe
 	}
 	if p.paused == 0 || opens < p.reopens {
 		p.reopens = opens
