--- a/agent/ranks/doc.go
+++ b/agent/ranks/doc.go
@@ -16,6 +16,6 @@
 //
 // # Locks
 //
-// Ranks has one lock, for its machines and what waits to be told. Neither an
+// Ranks has one lock, for its machines and what waits to be reported. Neither an
 // engine nor a control replica is asked while it is held.
 package ranks
--- a/agent/ranks/load.go
+++ b/agent/ranks/load.go
@@ -38,7 +38,7 @@
 	go r.carryOut(machine, machine.rank, order)
 }
 
-// carryOut gives the order and tells the rank what came of it, if the engine is
+// carryOut gives the order and reports its outcome to the rank, if the engine is
 // still in the run that it was in.
 func (r *Ranks) carryOut(m *machine, rank *mapswitch.Rank, order engineapi.Order) {
 	err := r.send(r.background, m.member, order)
@@ -75,7 +75,7 @@
 	return r.cfg.Engines.LoadMap(ctx, member.Endpoint, order)
 }
 
-// fenced returns the word of the engine that it has seen a higher token.
+// fenced returns the engine's answer that it has seen a higher token.
 func (m *machine) fenced(token uint64) mapswitch.Message {
 	return mapswitch.Message{
 		Kind:  mapswitch.KindFenced,
--- a/agent/ranks/machine.go
+++ b/agent/ranks/machine.go
@@ -118,7 +118,7 @@
 	return epoch != 0 && step >= promise
 }
 
-// loaded returns the word of the engine that an epoch is in place.
+// loaded returns the engine's answer that an epoch is in place.
 func (m *machine) loaded(epoch, digest uint64) mapswitch.Message {
 	return mapswitch.Message{
 		Kind:   mapswitch.KindLoaded,
--- a/agent/ranks/read.go
+++ b/agent/ranks/read.go
@@ -14,7 +14,7 @@
 )
 
 // The pause after a read of a group's record doubles from the least to the most
-// while the record stays the same. Decisions are told to ranks by the
+// while the record stays the same. Decisions are sent to ranks by the
 // coordinator as well; a read finds only those that were lost.
 const (
 	minPause = 20 * time.Millisecond
--- a/answer/answer.go
+++ b/answer/answer.go
@@ -15,7 +15,7 @@
 // RetryAfter is the header that says when to come back.
 const RetryAfter = "Retry-After"
 
-// Style is how callers are told when to come back.
+// Style is how Retry-After is written.
 type Style int
 
 // The styles.
--- a/call/action.go
+++ b/call/action.go
@@ -116,7 +116,7 @@
 	SettleTimeout time.Duration
 	// Poll is the wait between two questions about a claim.
 	Poll Backoff
-	// RetryAfter is what callers are told when nothing better is known.
+	// RetryAfter is the Retry-After when nothing better is known.
 	RetryAfter time.Duration
 }
 
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -45,7 +45,7 @@
 	HeaderReplayed = "Idempotent-Replayed"
 )
 
-// DefaultRetryAfter is what a caller is told to wait when nothing better is known.
+// DefaultRetryAfter is the Retry-After when nothing better is known.
 const DefaultRetryAfter = time.Second
 
 // Verdict is the final word on a request.
--- a/call/repeatable.go
+++ b/call/repeatable.go
@@ -226,7 +226,7 @@
 	return m.dispatch(now, delay)
 }
 
-// Redirect tells the machine that the agent of its endpoint has a new
+// Redirect notifies the machine that the agent of its endpoint has a new
 // incarnation or address, before a stream is resumed there.
 func (m *Repeatable) Redirect(t Target) Target {
 	if t.Endpoint == m.target.Endpoint {
--- a/call/retry.go
+++ b/call/retry.go
@@ -37,7 +37,7 @@
 // NewBudget returns a budget that holds Burst tokens.
 func NewBudget(cfg BudgetConfig) *Budget { return &Budget{config: cfg, sharers: 1, tokens: cfg.Burst} }
 
-// Share tells how many entries share what the configuration allows beside the ratio: a
+// Share sets how many entries share what the configuration allows beside the ratio: a
 // bound for each entry would grow with their number, and the endpoints' does not.
 func (b *Budget) Share(entries int) {
 	b.mu.Lock()
--- a/contract/agent.go
+++ b/contract/agent.go
@@ -14,7 +14,7 @@
 )
 
 // maxSuperseded is how many earlier incarnations of an agent are remembered, so
-// that a process that wakes up late is told that it was replaced.
+// that a process that wakes up late learns that it was replaced.
 const maxSuperseded = 32
 
 // agentEntry is an agent that has announced itself.
@@ -146,7 +146,7 @@
 
 // laterStart orders the incarnations of an endpoint that announces itself, which are the
 // times of its starts. A later start is the present one. An earlier one is late, and
-// says nothing, as long as the present one is heard; once that is silent the earlier one
+// says nothing, as long as the present one renews; once that is silent the earlier one
 // may have been started by a clock that was set back, and is taken.
 func laterStart(old, next *agentEntry) (*agentEntry, *fault.Error) {
 	if next.incarnation < old.incarnation && old.live {
@@ -264,7 +264,7 @@
 	return &Result{}
 }
 
-// maxGone is how many endpoints that announced themselves and are not heard any
+// maxGone is how many endpoints that announced themselves and do not renew any
 // more are remembered. Such an endpoint has a new id at each start, so that the
 // records would grow without end; it may also be well and only cut off, and is then
 // not to be forgotten. So the bound is above three times the endpoints of the
--- a/contract/command.go
+++ b/contract/command.go
@@ -53,7 +53,7 @@
 	return encode(logTime, &contractv1.Command{Kind: &contractv1.Command_Announce{Announce: request}})
 }
 
-// EncodeExpire ends the leases of agents that the leader has not heard. An
+// EncodeExpire ends the leases of agents that have not renewed. An
 // agent that has a newer incarnation by then keeps its lease.
 func EncodeExpire(logTime int64, agents ...AgentRef) ([]byte, error) {
 	expire := &contractv1.Expire{}
--- a/control/expertmap/balancing.go
+++ b/control/expertmap/balancing.go
@@ -73,7 +73,7 @@
 	return decision.Map, true
 }
 
-// noticeSwitch tells the balancer once the map that it proposed is in force.
+// noticeSwitch notifies the balancer once the map that it proposed is in force.
 func (g *balanced) noticeSwitch(current group.Map) {
 	if g.decision == nil {
 		return
--- a/control/expertmap/calls.go
+++ b/control/expertmap/calls.go
@@ -17,7 +17,7 @@
 	relayTimeout = 150 * time.Millisecond
 )
 
-// send calls the agents that have something to hear and no call under way, one call for each
+// send calls the agents for which messages wait and that have no call under way, one call for each
 // branch. What is not sent is asked for again by the coordinator.
 func (d *Driver) send(ctx context.Context, out *outbox) {
 	due := func(addr string) bool { return out.byAddr[addr] != nil && !d.calling[addr] }
@@ -123,7 +123,7 @@
 		d.failing[addr] = true
 	}
 	for _, addr := range append(response.GetAnswered(), branch.Relay) {
-		d.heard[addr] = d.now()
+		d.answered[addr] = d.now()
 		delete(d.failing, addr)
 	}
 }
--- a/control/expertmap/commands.go
+++ b/control/expertmap/commands.go
@@ -53,7 +53,7 @@
 	return true
 }
 
-// proposeAll proposes commands one after another and then tells the coordinator.
+// proposeAll proposes commands one after another and then notifies the coordinator.
 func (d *Driver) proposeAll(ctx context.Context, g *groupState, commands [][]byte, epoch uint64) {
 	g.committing = true
 	go func() {
--- a/control/expertmap/driver.go
+++ b/control/expertmap/driver.go
@@ -81,8 +81,8 @@
 	// last one unanswered.
 	calling, failing map[string]bool
 	results          chan func()
-	// heard is when each agent answered last, or was first called.
-	heard map[string]time.Duration
+	// answered is when each agent answered last, or was first called.
+	answered map[string]time.Duration
 	// ranks says which agents serve the ranks at the revision, plan how they are called.
 	ranks    addresses
 	plan     fanout.Plan
@@ -99,14 +99,14 @@
 	proposed group.Map
 	// committing is set while a command is under way.
 	committing bool
-	// seen is the log's record that the coordinator was told last.
+	// seen is the log's record that the coordinator was last given.
 	seen *fleetv1.MapRecord
 	// began is when the pending switch was first seen here, stages where its time goes.
 	began  time.Duration
 	stages *stages
 	// polled is when all agents of the group were last called.
 	polled time.Duration
-	// change tells the ranks the map that is pending; nil if none is.
+	// change describes the pending map to the ranks; nil if none is.
 	change *agentv1.MapChange
 	// rescuedAt is when the engines of silent hosts were looked at last.
 	rescuedAt time.Duration
@@ -121,13 +121,13 @@
 // NewDriver returns the driver of a term.
 func NewDriver(cfg Config) *Driver {
 	return &Driver{
-		cfg:     cfg,
-		started: time.Now(),
-		groups:  map[string]*groupState{},
-		calling: map[string]bool{},
-		failing: map[string]bool{},
-		heard:   map[string]time.Duration{},
-		results: make(chan func(), queueSize),
+		cfg:      cfg,
+		started:  time.Now(),
+		groups:   map[string]*groupState{},
+		calling:  map[string]bool{},
+		failing:  map[string]bool{},
+		answered: map[string]time.Duration{},
+		results:  make(chan func(), queueSize),
 	}
 }
 
@@ -211,7 +211,7 @@
 	return g
 }
 
-// learn tells the coordinator what the log has committed.
+// learn passes on to the coordinator what the log has committed.
 func (d *Driver) learn(ctx context.Context, g *groupState, out *outbox) {
 	stored := d.cfg.State.MapRecord(g.name)
 	if g.committing || stored == g.seen {
@@ -243,7 +243,7 @@
 	d.logDecision(g, before, g.coordinator.Record())
 }
 
-// change tells the pending map of a record by its difference to the one in force; nil where
+// change describes the pending map of a record by its difference to the one in force; nil where
 // there is none, or where agents do not pass requests on.
 func (d *Driver) change(name string, pending bool, stored *fleetv1.MapRecord) *agentv1.MapChange {
 	shape, known := d.cfg.Shapes()[name]
--- a/control/expertmap/following.go
+++ b/control/expertmap/following.go
@@ -31,7 +31,7 @@
 	follower *balance.Follower
 	shape    group.Shape
 	totals   *totals
-	// observed is when the follower was last told of the demand, fresh is true until
+	// observed is when the follower last got the demand, fresh is true until
 	// a decision has been made on it.
 	observed time.Duration
 	fresh    bool
--- a/control/expertmap/rescue.go
+++ b/control/expertmap/rescue.go
@@ -67,10 +67,10 @@
 	var ranks []int
 	for rank := range shape.Ranks {
 		addr := d.ranks[rankName{name, rank}]
-		if _, known := d.heard[addr]; !known {
-			d.heard[addr] = d.now()
+		if _, known := d.answered[addr]; !known {
+			d.answered[addr] = d.now()
 		}
-		if d.now()-d.heard[addr] > after {
+		if d.now()-d.answered[addr] > after {
 			ranks = append(ranks, rank)
 		}
 	}
--- a/control/expertmap/totals.go
+++ b/control/expertmap/totals.go
@@ -17,17 +17,17 @@
 // parts that experts have of it are of interest: reports need not be of the same steps.
 type totals struct {
 	tokens []float64
-	// heard says which ranks have counted, ranks is how many; since is when the first
-	// of them was heard.
-	heard []bool
-	ranks int
-	since time.Duration
+	// counted says which ranks have counted, ranks is how many; since is when the first
+	// of them reported.
+	counted []bool
+	ranks   int
+	since   time.Duration
 	// asked is how many ranks one look asks.
 	asked int
 }
 
 func newTotals(shape group.Shape) *totals {
-	return &totals{tokens: make([]float64, shape.Layers*shape.Experts), heard: make([]bool, shape.Ranks), asked: shape.Ranks / lookParts(shape.Ranks)}
+	return &totals{tokens: make([]float64, shape.Layers*shape.Experts), counted: make([]bool, shape.Ranks), asked: shape.Ranks / lookParts(shape.Ranks)}
 }
 
 // add takes in a report of all layers that fits the shape.
@@ -41,18 +41,18 @@
 	for i, tokens := range load.GetTokens() {
 		t.tokens[i] += float64(tokens)
 	}
-	t.hear(load.GetRank())
+	t.note(load.GetRank())
 	for _, rank := range load.GetMoreRanks() {
-		t.hear(rank)
+		t.note(rank)
 	}
 }
 
-// hear notes that a rank has counted.
-func (t *totals) hear(rank int32) {
-	if rank < 0 || int(rank) >= len(t.heard) || t.heard[rank] {
+// note takes in that a rank has counted.
+func (t *totals) note(rank int32) {
+	if rank < 0 || int(rank) >= len(t.counted) || t.counted[rank] {
 		return
 	}
-	t.heard[rank] = true
+	t.counted[rank] = true
 	t.ranks++
 }
 
--- a/control/finish.go
+++ b/control/finish.go
@@ -14,7 +14,7 @@
 	// finishInterval is the time between two looks at what is still open.
 	finishInterval = 500 * time.Millisecond
 	// daemonsHeardAfter is how long after the beginning of a term every daemon
-	// that lives has been heard by a replica that can be reached.
+	// that lives has reported to a replica that can be reached.
 	daemonsHeardAfter = liveDaemonMs * time.Millisecond
 )
 
@@ -87,7 +87,7 @@
 }
 
 // inForce reports whether every daemon that lives acts on the revision. Agents
-// with a lease count also if no replica has heard them on its feed.
+// with a lease count also if they follow no replica's feed.
 func (f *finisher) inForce(daemons []*controlv1.DaemonStatus, revision uint64) bool {
 	if len(behind(daemons, revision)) > 0 {
 		return false
--- a/control/leadership.go
+++ b/control/leadership.go
@@ -122,7 +122,7 @@
 	return line
 }
 
-// expire ends the leases of agents that are not heard any more until ctx ends.
+// expire ends the leases of agents that do not renew any more until ctx ends.
 // All that end together go into one command.
 func (l *leadership) expire(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/control/replica.go
+++ b/control/replica.go
@@ -23,7 +23,7 @@
 	Applied() uint64
 }
 
-// machine is the replicated state as the log drives it. It tells watchers of new
+// machine is the replicated state as the log drives it. It notifies watchers of new
 // revisions.
 type machine struct {
 	state *contract.State
--- a/control/service.go
+++ b/control/service.go
@@ -14,7 +14,7 @@
 // decideTimeout bounds a decision whose caller has set no deadline.
 const decideTimeout = 10 * time.Second
 
-// leaderTerms tells whether this replica leads.
+// leaderTerms reports whether this replica leads.
 type leaderTerms interface {
 	// current returns the leadership of the term that this replica leads;
 	// nil while it does not lead or is not ready to decide.
--- a/control/source.go
+++ b/control/source.go
@@ -19,7 +19,7 @@
 	replicas  knownReplicas
 }
 
-// membershipReader tells the present membership; *server.Server is one.
+// membershipReader reads the present membership; *server.Server is one.
 type membershipReader interface{ Status() server.Status }
 
 // knownReplicas are the addresses of the members, as they were last read.
--- a/control/status.go
+++ b/control/status.go
@@ -36,7 +36,7 @@
 }
 
 // status reports for the whole fleet. An unreachable replica is left out; the
-// daemons that only it hears are then missing or old.
+// daemons that report to it only are then missing or old.
 func (r *reports) status(ctx context.Context, current *leadership) *controlv1.StatusResponse {
 	if marked(ctx, localKey) {
 		return r.local()
@@ -112,7 +112,7 @@
 }
 
 // merge adds what others know: each replica knows best how far it is itself, and
-// the replica that heard a daemon last knows best about that daemon.
+// the replica with the latest report of a daemon knows best about it.
 func merge(response *controlv1.StatusResponse, others []*controlv1.StatusResponse) {
 	daemons := map[string]*controlv1.DaemonStatus{}
 	for _, each := range append(others, response) {
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -13,7 +13,7 @@
 // change without a signal.
 const filePoll = time.Second
 
-// reloader reads the settings again when it is told to, or when their file has
+// reloader reads the settings again on a signal, or when their file has
 // changed.
 type reloader struct {
 	program Program
--- a/endpoint/load/estimate.go
+++ b/endpoint/load/estimate.go
@@ -7,7 +7,7 @@
 	"github.com/lilackeel/lilackeel/endpoint"
 )
 
-// Defaults of Config and of values that no report has told yet.
+// Defaults of Config and of values that no report has stated yet.
 const (
 	// DefaultSurpriseTTL is the default of Config.SurpriseTTL.
 	DefaultSurpriseTTL = 20 * time.Second
--- a/endpoint/load/tracker.go
+++ b/endpoint/load/tracker.go
@@ -148,7 +148,7 @@
 	return rec != nil && slices.Contains(rec.report.Adapters, adapter)
 }
 
-// ReportsOwnStep reports whether the engine id has told its own step time, by
+// ReportsOwnStep reports whether the engine id has reported its own step time, by
 // which it is then judged instead of by the time of its calls.
 func (t *Tracker) ReportsOwnStep(id string) bool {
 	t.mu.Lock()
--- a/endpoint/pick/picker.go
+++ b/endpoint/pick/picker.go
@@ -55,7 +55,7 @@
 // had nothing else to do. RetryAfter says when asking again makes sense. In
 // all these cases nothing has been dispatched.
 //
-// After dispatch the caller tells the tracker and the index (Sent in both).
+// After dispatch the caller notifies the tracker and the index (Sent in both).
 func (p *Picker) Pick(now time.Duration, rng *rand.Rand, r *Request) (endpoint.Endpoint, Explain, error) {
 	view := p.table.Snapshot()
 	key := endpoint.Key{Pool: r.Pool, Model: r.Model, Version: r.Version, Adapter: r.Adapter}
--- a/entry/config.go
+++ b/entry/config.go
@@ -63,7 +63,7 @@
 	// Headers and RetryStyle are how callers and endpoints are spoken to then.
 	Headers    routed.Headers
 	RetryStyle answer.Style
-	// RetryAfter is what callers are told then when nothing better is known.
+	// RetryAfter is the Retry-After then when nothing better is known.
 	RetryAfter time.Duration
 	// MaxWait is how long a request of a route waits for a place at most, and
 	// MaxRetryAfter the latest time at which a refused one is asked to come back.
--- a/entry/delivery.go
+++ b/entry/delivery.go
@@ -118,7 +118,7 @@
 	return false
 }
 
-// errorEvent tells the reader of a stream that it was cut.
+// errorEvent signals to the reader of a stream that it was cut.
 func (d *delivery) errorEvent(v *call.Verdict) {
 	text, err := json.Marshal(v.Body(d.id))
 	if err != nil {
--- a/entry/intake.go
+++ b/entry/intake.go
@@ -62,7 +62,7 @@
 	return view.At(name)
 }
 
-// takeLoad feeds the tracker and the detector. The detector hears of endpoints
+// takeLoad feeds the tracker and the detector. The detector gets endpoints
 // without a step time as well: how many may be out depends on how many there are,
 // also of those that get no calls now.
 func (p *Reports) takeLoad(now time.Duration, e *endpoint.Endpoint, l *agentv1.LoadReport) {
--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -30,7 +30,7 @@
 	resumed bool
 }
 
-// From tells that the caller has the stream up to the event with this id.
+// From states that the caller has the stream up to the event with this id.
 func (s *Splitter) From(id int64) { s.last, s.known, s.resumed = id, true, true }
 
 // Last returns the id of the last event handed out; ok is false if there was
--- a/feed/daemons.go
+++ b/feed/daemons.go
@@ -8,11 +8,11 @@
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 )
 
-// forgetDaemonAfter is how long a daemon that is not heard any more stays
+// forgetDaemonAfter is how long a daemon that does not report any more stays
 // listed.
 const forgetDaemonAfter = 10 * time.Minute
 
-// Daemons knows which daemons were heard, when, and the revision that each acts
+// Daemons knows which daemons have reported, when, and the revision that each acts
 // on. Its methods may be called from any goroutine.
 type Daemons struct {
 	mu     sync.Mutex
@@ -33,7 +33,7 @@
 	return &Daemons{byName: map[string]*daemonRecord{}}
 }
 
-// Hear records what a daemon said of itself, heard at the given time. A report
+// Hear records the report of a daemon that came at the given time. A report
 // that is older than what is known is dropped.
 func (d *Daemons) Hear(heard time.Time, status *controlv1.DaemonStatus) {
 	d.mu.Lock()
--- a/feed/server.go
+++ b/feed/server.go
@@ -23,7 +23,7 @@
 	// Configuration returns the whole latest configuration; nil for none yet.
 	Configuration() *fleetv1.Configuration
 	// DeltaSince returns the changes after the revision up to the latest one; nil
-	// when the source cannot tell them any more.
+	// when the source does not have them any more.
 	DeltaSince(revision uint64) *fleetv1.Delta
 	// Changed returns a channel that is closed at the next new revision.
 	Changed() <-chan struct{}
@@ -100,14 +100,14 @@
 	hello  *controlv1.Hello
 	// sent is the revision that the daemon has been brought to.
 	sent uint64
-	// replicas are the control replicas that the daemon has been told.
+	// replicas are the control replicas that were sent to the daemon.
 	replicas []string
 	// pings holds the latest ping that waits for its answer. A newer ping
-	// replaces it: answering the newer one tells the daemon more.
+	// replaces it: an answer to the newer one says more.
 	pings chan uint64
 }
 
-// newReplicas returns the control replicas if the daemon has not been told them on
+// newReplicas returns the control replicas if they have not been sent to the daemon on
 // this stream; a source that does not know them has none.
 func (w *watcher) newReplicas() []string {
 	known, ok := w.server.source.(ReplicaSource)
@@ -183,7 +183,7 @@
 }
 
 // answer sends a pong. The changes go first, so that a daemon holds a revision
-// when it hears that a quorum confirmed it.
+// when it learns that a quorum confirmed it.
 func (w *watcher) answer(seq uint64) error {
 	revision, at, known := w.server.source.Freshness()
 	if err := w.sendChanges(); err != nil {
--- a/group/balance/balancer.go
+++ b/group/balance/balancer.go
@@ -127,7 +127,7 @@
 	b.fresh = true
 }
 
-// Switched tells the balancer that the group has switched to the map of an
+// Switched notifies the balancer that the group has switched to the map of an
 // earlier decision.
 func (b *Balancer) Switched(from group.Map, d Decision) {
 	b.watch.start(b.config, from, d, b.load, b.cost)
--- a/group/mapswitch/coordinator.go
+++ b/group/mapswitch/coordinator.go
@@ -12,7 +12,7 @@
 
 // The phases of a coordinator.
 const (
-	// PhaseIdle means that nothing is pending; decisions may still be told.
+	// PhaseIdle means that nothing is pending; decisions may still be sent.
 	PhaseIdle Phase = iota
 	// PhaseBeginning waits for Begin to be committed.
 	PhaseBeginning
@@ -161,7 +161,7 @@
 	return c.decide(now, EntryAbort, 0)
 }
 
-// Committed tells the coordinator the record after an entry of the group was
+// Committed gives the coordinator the record after an entry of the group was
 // committed, whoever proposed it.
 func (c *Coordinator) Committed(now time.Duration, record Record) []Effect {
 	if record.Revision <= c.record.Revision || c.phase == PhaseDeposed {
--- a/group/mapswitch/doc.go
+++ b/group/mapswitch/doc.go
@@ -29,7 +29,7 @@
 // What the safety of a step rests on, each point being a guard in the code:
 //
 //   - a rank runs no step at or beyond its promise while the epoch is pending;
-//   - the coordinator tells only what the log has committed;
+//   - the coordinator sends only what the log has committed;
 //   - a coordinator that takes over commits Adopt first, which makes the log
 //     refuse every later entry of its predecessor, and asks for new promises;
 //   - a rank refuses messages whose fencing token is lower than the highest it
--- a/group/mapswitch/message.go
+++ b/group/mapswitch/message.go
@@ -16,7 +16,7 @@
 	KindPromised
 	// KindRefused (rank to coordinator) refuses a request; see Reason.
 	KindRefused
-	// KindDecided (coordinator to rank) tells the committed record.
+	// KindDecided (coordinator to rank) carries the committed record.
 	KindDecided
 	// KindAcknowledged (rank to coordinator) confirms Record.Revision.
 	KindAcknowledged
--- a/group/mapswitch/options.go
+++ b/group/mapswitch/options.go
@@ -75,7 +75,7 @@
 	// fresh is true until that has been taken.
 	planned, overrun time.Duration
 	fresh            bool
-	// held is when a rank was first heard to wait at the step; zero if none has been.
+	// held is when a rank first reported to wait at the step; zero if none has been.
 	held time.Duration
 	// step is where the furthest rank was at a time, by which the time of a step is
 	// measured.
--- a/group/mapswitch/rank.go
+++ b/group/mapswitch/rank.go
@@ -10,7 +10,7 @@
 // pending.
 const maxLoaded = 3
 
-// promise is the word of a rank not to run Step or any later step while Epoch
+// promise is the commitment of a rank not to run Step or any later step while Epoch
 // is pending.
 type promise struct {
 	Epoch, Token, Step uint64
@@ -55,7 +55,7 @@
 // Promise returns the epoch and step of the promise in force, or zeros.
 func (r *Rank) Promise() (epoch, step uint64) { return r.promise.Epoch, r.promise.Step }
 
-// Observe tells the step that the engine is in, when the engine connects to a
+// Observe takes in the step that the engine is in, when the engine connects to a
 // process that does not know it.
 func (r *Rank) Observe(step uint64) {
 	r.at = max(r.at, step)
--- a/group/mapwire/change.go
+++ b/group/mapwire/change.go
@@ -7,7 +7,7 @@
 	"github.com/lilackeel/lilackeel/group"
 )
 
-// ChangeOf tells the map of an epoch by the slots in which it differs from that of the
+// ChangeOf describes the map of an epoch by the slots in which it differs from that of the
 // base epoch. A switch changes some hundred of the thousands of slots of a large group:
 // two kilobytes in place of a read of two whole maps by every rank.
 func ChangeOf(name string, shape group.Shape, baseEpoch uint64, base group.Map, epoch uint64, next group.Map) *agentv1.MapChange {
--- a/routed/paths_test.go
+++ b/routed/paths_test.go
@@ -109,3 +109,14 @@
 		}
 	}
 }
+
+// BenchmarkPathDelays is what the ways cost the choice of an endpoint, with 16 zones.
+func BenchmarkPathDelays(b *testing.B) {
+	var p pathDelays
+	for i := range 16 {
+		p.observe(fmt.Sprint("zone-", i), time.Second, 10*time.Millisecond)
+	}
+	for b.Loop() {
+		p.delays(2*time.Second, 24)
+	}
+}
