Tests of pauses at the gate, of claims in one, and of a pause while a connection is set up

Three guards had no test of their own: the gate's pause with its probe, its end with the process and the word that an endpoint leaves; a claim whose dispatch a pause refuses is not run later either; an attempt whose endpoint asks for a pause while its connection is set up goes elsewhere, also where it may run at most once. All pass on the code as it is; no product code changes.

--- a/gate/rate_test.go
+++ b/gate/rate_test.go
@@ -66,3 +66,46 @@
 	known := &agentv1.RateLimit{Endpoint: "e", Rate: &rate}
 	is.True(admitted(reborn, 2*time.Second, 12*time.Second, known) <= 12) // the sender knows
 }
+
+// Guards against dispatches and polls in a pause, against a crowd at its end, and against a pause, or
+// the word that an endpoint leaves, that outlives the process which gave it.
+func TestTheGateKeepsAPause(t *testing.T) {
+	is := is.New(t)
+	g := limitedGate()
+	g.PushedBack(2*time.Second, "e", 3*time.Second)
+	is.Equal(admitted(g, 2*time.Second, 5*time.Second, nil), 0)
+	refused := g.Admit(4*time.Second, &agentv1.DispatchRequest{Incarnation: 1, Endpoint: "e"})
+	is.Equal(refused.Fault.Kind, fault.RateLimited)
+	is.Equal(refused.Fault.RetryAfter, time.Second)
+	ok, _ := g.AdmitPoll(4*time.Second, "e")
+	is.True(!ok)
+	is.True(g.CheckSend(4999*time.Millisecond, "e") != nil)
+	is.Equal(g.CheckSend(5*time.Second, "e"), nil) // a probe
+	is.True(g.CheckSend(5*time.Second, "e") != nil)
+	g.Taken("e", 4*time.Second) // the answer to an earlier request
+	is.True(g.CheckSend(5*time.Second, "e") != nil)
+	g.Taken("e", 5*time.Second)
+	is.Equal(g.CheckSend(5*time.Second, "e"), nil)
+
+	g.PushedBack(6*time.Second, "e", time.Hour)
+	g.SaidLeaving(6*time.Second, "e", 5*time.Second, true)
+	g.SaidLeaving(7*time.Second, "e", 5500*time.Millisecond, false) // asked before
+	is.Equal(g.Admit(7*time.Second, &agentv1.DispatchRequest{Incarnation: 1, Endpoint: "e"}).Fault.Kind, fault.Leaving)
+	is.Equal(len(g.Drain().Drained), 0) // the configuration has not taken it out
+	g.Ended(8*time.Second, "e")
+	is.Equal(admitted(g, 8*time.Second, 9*time.Second, nil), 20)
+}
+
+// Guards against a claim that is spent on a dispatch which the pause of its endpoint refuses: it has
+// not run, and never will.
+func TestAClaimInAPauseIsNotRun(t *testing.T) {
+	is := is.New(t)
+	g := limitedGate()
+	g.PushedBack(2*time.Second, "e", 3*time.Second)
+	ticket := int64(2500 * time.Millisecond)
+	d := &agentv1.DispatchRequest{Incarnation: 1, Endpoint: "e", ClaimId: ClaimID("c", ticket), ClaimTicketNs: ticket}
+	is.Equal(g.Admit(3*time.Second, d).Fault.Kind, fault.RateLimited)
+	later := g.Admit(6*time.Second, d) // the same claim, delivered late
+	is.Equal(later.Decision, Refuse)
+	is.Equal(later.Fault.Kind, fault.Fenced)
+}
--- a/routed/pause_test.go
+++ b/routed/pause_test.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
@@ -39,3 +40,28 @@
 	closed := room{state: lockstep.Closed, places: load(4, 0).places(limit, entries)}
 	is.Equal(total([]room{closed}), Room{Opening: 40}) // so many may wait for its end
 }
+
+// pausedMeanwhile admits every request and knows then that an endpoint is in a pause.
+type pausedMeanwhile struct {
+	unlimited
+	id string
+}
+
+func (p pausedMeanwhile) InPause(id string) bool { return id == p.id }
+
+// Guards against a request that is written although its endpoint has asked for a pause while the
+// connection was set up: it goes elsewhere, also where it may run at most once.
+func TestAPauseMeanwhileSendsTheRequestElsewhere(t *testing.T) {
+	for _, target := range []string{"/read/x", "/once/x"} {
+		is := is.New(t)
+		asked := 0
+		b := newBed(t, func(http.ResponseWriter, *http.Request) { asked++ }, answerOK)
+		b.server.RateLimits = pausedMeanwhile{id: "e1"}
+		for range 20 {
+			code, _, text := status(t, b, target, nil)
+			is.Equal(code, http.StatusOK)
+			is.Equal(text, "done")
+		}
+		is.Equal(asked, 0)
+	}
+}
