A test of the requests that cannot wait out a pause

Taken out, the refusal at admission made no test fail, as the choice of an endpoint refuses as well, after a place was taken. The new test fails without it.

--- a/routed/pause_test.go
+++ b/routed/pause_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
+	"github.com/lilackeel/lilackeel/fault"
 )
 
 // Guards against requests that are let in for endpoints that have asked for a pause: they would
@@ -65,3 +66,28 @@
 		is.Equal(asked, 0)
 	}
 }
+
+// closedPool refuses every request of a pool.
+type closedPool struct{ unlimited }
+
+func (closedPool) Refusal(string) *fault.Error {
+	return fault.New(fault.RateLimited, "closed", "wait").After(9 * time.Second)
+}
+
+// Guards against requests that queue for a pool whose pause they cannot wait out: with those that
+// can, they would be refused only after their patience. The route allows 2 s, half of it for waiting.
+func TestWhoCannotWaitForAPauseDoesNotQueue(t *testing.T) {
+	for left, queued := range map[time.Duration]int{500 * time.Millisecond: 1, 5 * time.Second: 0} {
+		is := is.New(t)
+		b := newBed(t, answerOK)
+		admitter := &countingAdmitter{}
+		b.server.Admitter, b.server.RateLimits = admitter, closedPool{}
+		b.server.placement.Store(&placement{reopens: map[string]time.Duration{"pool": b.server.clock() + left}})
+		code, response, _ := status(t, b, "/read/x", nil)
+		is.Equal(int(admitter.asked.Load()), queued)
+		is.Equal(code == http.StatusOK, queued == 1)
+		if queued == 0 {
+			is.Equal(response.Header.Get("Retry-After"), "9")
+		}
+	}
+}
