--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -19,8 +19,10 @@
 // Splitter splits the bytes of a stream into complete events. The zero value is ready for a
 // stream from its beginning.
 type Splitter struct {
-	// partial contains the bytes after the last complete event of the attempt.
-	partial []byte
+	// buffer contains the events that the last call of Add returned and, from the offset partial,
+	// the bytes after the last complete event of the attempt.
+	buffer  []byte
+	partial int
 	// lastID is the id of the last emitted event; it is valid if hasLastID is true.
 	lastID    int64
 	hasLastID bool
@@ -38,11 +40,11 @@
 func (s *Splitter) LastID() (id int64, ok bool) { return s.lastID, s.hasLastID }
 
 // Partial reports whether the data of the attempt so far ends within an event.
-func (s *Splitter) Partial() bool { return len(bytes.TrimSpace(s.partial)) > 0 }
+func (s *Splitter) Partial() bool { return len(bytes.TrimSpace(s.buffer[s.partial:])) > 0 }
 
 // Resume starts another attempt, which continues after the last emitted event.
 func (s *Splitter) Resume() {
-	s.partial = s.partial[:0]
+	s.buffer, s.partial = s.buffer[:0], 0
 	s.resumed = true
 }
 
@@ -50,29 +52,29 @@
 // They are valid until the next call. An error means that the attempt does not continue the
 // stream where it was interrupted.
 func (s *Splitter) Add(data []byte) ([]byte, error) {
-	s.partial = append(s.partial, data...)
-	var out []byte
-	rest := s.partial
+	s.buffer = append(s.buffer[:0], s.buffer[s.partial:]...)
+	s.buffer = append(s.buffer, data...)
+	s.partial = 0
+	emitted := 0
 	for {
-		end := eventLength(rest)
+		end := eventLength(s.buffer[s.partial:])
 		if end < 0 {
 			break
 		}
-		event := rest[:end]
-		rest = rest[end:]
+		event := s.buffer[s.partial : s.partial+end]
+		s.partial += end
 		fresh, err := s.admit(event)
 		if err != nil {
-			return out, err
+			return s.buffer[:emitted], err
 		}
 		if fresh {
-			out = append(out, event...)
+			emitted += copy(s.buffer[emitted:], event)
 		}
 	}
-	s.partial = append(s.partial[:0], rest...)
-	if len(s.partial) > MaxEventBytes {
-		return out, fault.Newf(fault.Unknown, "request shorter events", "an event exceeds %d bytes", MaxEventBytes)
+	if len(s.buffer)-s.partial > MaxEventBytes {
+		return s.buffer[:emitted], fault.Newf(fault.Unknown, "request shorter events", "an event exceeds %d bytes", MaxEventBytes)
 	}
-	return out, nil
+	return s.buffer[:emitted], nil
 }
 
 // admit reports whether an event is new to the caller, and records its id. An error means that
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// readBufferSize is the size of the buffer for reads of a response body.
-	readBufferSize = 16 << 10
+	// readBufferSize is the size of the buffer for reads of a response body. A caller that reads
+	// slowly holds one such buffer, and about as much in the splitter of a stream.
+	readBufferSize = 4 << 10
 	// maxRefusalBytes is how much of a refusal's body is read so that its connection can be
 	// reused.
 	maxRefusalBytes = 16 << 10
@@ -154,13 +155,13 @@
 	a.w.WriteHeader(r.Status)
 	a.headWritten = true
 	chunk := buffered
+	buffer := make([]byte, readBufferSize)
 	for {
 		a.setWriteDeadline()
 		if _, err := a.w.Write(chunk); err != nil {
 			a.recordResult(false)
 			return a.deliveryResult(err)
 		}
-		buffer := make([]byte, readBufferSize)
 		n, err := r.Body.Read(buffer)
 		chunk = buffer[:n]
 		if errors.Is(err, io.EOF) {
