entry, ratelimit: cold endpoints take the cold rate of their pool from all entries together

What callers saw: an endpoint that had just started was sent its full share by each entry; well above its cold rate it crashes, and what ran there ends unknown.

Cause: nothing read that an endpoint is cold. Change: an endpoint announces it, the site states each pool's cold rate, and entries treat it as a limit that no response lifts, kept by the one arbiter of permits that all entries choose for that run of the endpoint; the stricter of it and an advertised limit counts. The rest goes to other endpoints or is refused at once with a turn.

Weighed: equal parts of the rate (breaks when entries start; docs/design/evacuation.md).

--- a/entry/configure.go
+++ b/entry/configure.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/direct"
@@ -49,6 +50,9 @@
 	}
 	if delta.GetSite() != nil {
 		c.publishSite(site.NewTable(view.Site))
+		c.applyColdRates(view.Site, view.Endpoints.All())
+	} else {
+		c.applyColdRates(view.Site, byID(delta.GetEndpoints()))
 	}
 	if len(delta.GetEndpoints()) == 0 && len(delta.GetRemovedEndpoints()) == 0 {
 		return
@@ -72,6 +76,33 @@
 	c.routed.PublishInitial(table, c.admission, max(c.reports.Readers(), 1))
 }
 
+// applyColdRates limits the endpoints that are cold to the rates that the site states for their
+// pools, and lifts the limits of the others.
+func (c *configurer) applyColdRates(s *fleetv1.Site, endpoints iter.Seq2[string, *fleetv1.Endpoint]) {
+	rates := map[string]float64{}
+	for _, pool := range s.GetPools() {
+		rates[pool.GetName()] = pool.GetColdRate()
+	}
+	for id, e := range endpoints {
+		rate := 0.0
+		if e.GetCold() {
+			rate = rates[e.GetPool()]
+		}
+		c.limits.setColdRate(id, rate)
+	}
+}
+
+// byID iterates over endpoints and their ids.
+func byID(endpoints []*fleetv1.Endpoint) iter.Seq2[string, *fleetv1.Endpoint] {
+	return func(yield func(string, *fleetv1.Endpoint) bool) {
+		for _, e := range endpoints {
+			if !yield(e.GetId(), e) {
+				return
+			}
+		}
+	}
+}
+
 // restartedEndpoints returns the ids of directly called endpoints that have restarted. What was
 // measured of an earlier incarnation does not apply to the current one.
 func (c *configurer) restartedEndpoints(upserts []endpoint.Endpoint) []string {
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -101,7 +101,7 @@
 // requestPermit requests the permit to send one request. If a host does not answer, the next one
 // is tried.
 func (p *PermitClient) requestPermit(ctx context.Context, e *endpoint.Endpoint, limit ratelimit.Limit) (granted bool, wait time.Duration) {
-	named := ratelimit.EndpointLimit{Endpoint: e.RunID(), Limit: limit}
+	named := limit.For(e.RunID())
 	hosts := p.permitHosts(named.Endpoint)
 	if len(hosts) == 0 {
 		return p.requestLocally(named)
--- a/entry/ratelimits.go
+++ b/entry/ratelimits.go
@@ -59,6 +59,7 @@
 		pushbacks: metrics.GetOrCreateCounter(`lilackeel_entry_pushbacks_total`),
 	}
 	metrics.GetOrCreateGauge(`lilackeel_entry_rate_limited_endpoints`, func() float64 { return float64(l.table.LimitedCount()) })
+	metrics.GetOrCreateGauge(`lilackeel_entry_cold_endpoints`, func() float64 { return float64(l.table.ColdCount()) })
 	return l
 }
 
@@ -73,6 +74,14 @@
 	return changed
 }
 
+// setColdRate sets the rate in requests per second that an endpoint takes while it is cold; zero for
+// one that is not cold.
+func (l *RateLimits) setColdRate(id string, rate float64) {
+	if l.table.SetColdRate(id, rate) {
+		l.logger.Info("cold rate of an endpoint changed", slog.String("endpoint", id), slog.Float64("rate", rate))
+	}
+}
+
 // mergeLimits merges limits that hosts have forwarded.
 func (l *RateLimits) mergeLimits(now time.Duration, messages []*agentv1.RateLimit) {
 	for _, message := range messages {
@@ -209,8 +218,8 @@
 // advertised limit or, after a pause, a share of its slot throughput. The rest of that throughput
 // is left to new requests.
 func (l *RateLimits) acceptedRate(e *endpoint.Endpoint) float64 {
-	if limit, limited := l.table.Limit(e.ID); limited {
-		return limit.Rate
+	if rate, limited := l.table.EffectiveRate(e.ID); limited {
+		return rate
 	}
 	hold := max(l.holdTimes.MeanHoldTime(e.Pool), minHoldTime)
 	return retryShare * float64(max(e.Slots, 1)) / hold.Seconds()
--- a/ratelimit/limit.go
+++ b/ratelimit/limit.go
@@ -45,6 +45,21 @@
 	// Rate is in requests per second.
 	Rate               float64
 	SentAt, ReceivedAt time.Duration
+	// Cold is true for the rate of a cold endpoint, which its announcement implies. No response
+	// changes it.
+	Cold bool
+}
+
+// coldSuffix distinguishes the cold rate of an endpoint from the limit that it advertises.
+const coldSuffix = "#cold"
+
+// For returns the limit of an endpoint as arbiters know it. An endpoint's cold rate and its
+// advertised limit are separate limits.
+func (l Limit) For(endpoint string) EndpointLimit {
+	if l.Cold {
+		endpoint += coldSuffix
+	}
+	return EndpointLimit{Endpoint: endpoint, Limit: l}
 }
 
 // Limited reports whether the rate is limited.
--- a/ratelimit/table.go
+++ b/ratelimit/table.go
@@ -27,6 +27,9 @@
 // record is the state of one endpoint.
 type record struct {
 	limit Limit
+	// coldRate is the rate that the endpoint takes while it is cold, in requests per second; zero
+	// if it is not cold.
+	coldRate float64
 	// pause is the pause that the endpoint has asked for.
 	pause Pause
 	// leaving is set once the endpoint has announced that it is about to stop.
@@ -81,6 +84,28 @@
 	return change, true
 }
 
+// SetColdRate sets the rate, in requests per second, that an endpoint takes while it is cold; zero
+// for an endpoint that is not cold. It reports whether the rate has changed.
+func (t *Table) SetColdRate(id string, rate float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.endpoints[id]
+	if r == nil && rate <= 0 || r != nil && r.coldRate == rate {
+		return false
+	}
+	r = t.getOrCreate(id)
+	r.coldRate, r.notBefore = rate, 0
+	return true
+}
+
+// effectiveLimit returns the stricter of the advertised limit and the cold rate.
+func (r *record) effectiveLimit(now time.Duration) Limit {
+	if r.coldRate <= 0 || r.coldRate >= r.limit.Rate {
+		return r.limit
+	}
+	return Limit{Rate: r.coldRate, SentAt: now, ReceivedAt: now, Cold: true}
+}
+
 // getOrCreate returns the record of an endpoint and creates it on first use. The caller must hold
 // the lock.
 func (t *Table) getOrCreate(id string) *record {
@@ -167,15 +192,17 @@
 		return Limit{Rate: Unlimited}, Allowed
 	case r.leaving, r.blockedUntil(now) > 0:
 		return r.limit, Blocked
-	case r.limit.Limited() && r.pendingPermits >= maxPendingPermits:
-		return r.limit, Blocked
+	}
+	limit := r.effectiveLimit(now)
+	if limit.Limited() && r.pendingPermits >= maxPendingPermits {
+		return limit, Blocked
 	}
 	r.pause.Take(now)
-	if !r.limit.Limited() {
-		return r.limit, Allowed
+	if !limit.Limited() {
+		return limit, Allowed
 	}
 	r.pendingPermits++
-	return r.limit, PermitRequired
+	return limit, PermitRequired
 }
 
 // blockedUntil returns the time from which a request may be sent, zero if one may be sent now.
@@ -268,13 +295,40 @@
 	return r.limit, r.limit.Limited()
 }
 
-// LimitedEndpoints returns the endpoints that advertise a limit, in no particular order.
+// EffectiveRate returns the rate that an endpoint takes, in requests per second: the stricter of
+// its advertised limit and its cold rate. limited is false if it has neither.
+func (t *Table) EffectiveRate(id string) (rate float64, limited bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.endpoints[id]
+	if r == nil {
+		return Unlimited, false
+	}
+	limit := r.effectiveLimit(0)
+	return limit.Rate, limit.Limited()
+}
+
+// ColdCount returns the number of cold endpoints that have a cold rate.
+func (t *Table) ColdCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for _, r := range t.endpoints {
+		if r.coldRate > 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// LimitedEndpoints returns the endpoints that advertise a limit or are cold, in no particular
+// order.
 func (t *Table) LimitedEndpoints() []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var limited []string
 	for id, r := range t.endpoints {
-		if r.limit.Limited() {
+		if r.effectiveLimit(0).Limited() {
 			limited = append(limited, id)
 		}
 	}
@@ -282,7 +336,7 @@
 }
 
 // RecordSent records that a request is sent to an endpoint. It reports whether the endpoint
-// advertises a limit, and whether it is in a pause.
+// advertises a limit or is cold, and whether it is in a pause.
 func (t *Table) RecordSent(now time.Duration, id string, retry bool) (limited, paused bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -290,7 +344,7 @@
 	if r == nil {
 		return false, false
 	}
-	limited, paused = r.limit.Limited(), now < r.pause.until
+	limited, paused = r.effectiveLimit(now).Limited(), now < r.pause.until
 	if limited {
 		countAttempt(&r.sent, &r.retries, retry)
 	}
@@ -314,5 +368,5 @@
 	delete(t.endpoints, id)
 }
 
-// LimitedCount returns the number of endpoints that advertise a limit.
+// LimitedCount returns the number of endpoints that advertise a limit or are cold.
 func (t *Table) LimitedCount() int { return len(t.LimitedEndpoints()) }
