contract, control: evacuation of an availability zone

What operators saw: an order to evacuate a zone was answered 404, and its endpoints went on being used; there was no such decision in the product.

Change: EvacuateZone is an entry of the replicated log, and intents have zones (plan, confirm, conflict by revision, status and config show them). It is in force by the records of the zone's endpoints, which become LEAVING, so that every way to an endpoint honours it without a list of its own; later announcements in the zone start LEAVING; taking it back restores what the endpoint and its operator decided, with the endpoint cold until its next announcement.

--- a/contract/agent.go
+++ b/contract/agent.go
@@ -211,7 +211,7 @@
 	if entry.live && proto.Equal(entry.announced, announced) {
 		return
 	}
-	pending.upserts = append(pending.upserts, entry.withAnnounced(announced, s.revision+1))
+	pending.upserts = append(pending.upserts, entry.withAnnounced(announced, s.isEvacuated(announced.GetZone()), s.revision+1))
 }
 
 // hasAnnouncedLeaving reports whether a self-announced endpoint has already announced,
--- a/contract/change.go
+++ b/contract/change.go
@@ -20,6 +20,7 @@
 	policyKind    objectKind = "policy"
 	mapKind       objectKind = "map"
 	siteKind      objectKind = "site"
+	zoneKind      objectKind = "zone"
 )
 
 // objectRef identifies one object of the configuration.
--- a/contract/endpoint.go
+++ b/contract/endpoint.go
@@ -30,6 +30,8 @@
 	// drained is whether the endpoint has finished all work since operators set it
 	// leaving or stopped.
 	drained bool
+	// evacuated is whether operators have evacuated the endpoint's zone.
+	evacuated bool
 	// message is the record that is sent to daemons.
 	message *fleetv1.Endpoint
 }
@@ -38,6 +40,9 @@
 func (e *endpointEntry) compose(revision uint64) {
 	message := proto.Clone(e.announced).(*fleetv1.Endpoint)
 	message.State = max(announcedState(e.announced), e.wantedState)
+	if e.evacuated {
+		message.State = max(message.State, fleetv1.EndpointState_ENDPOINT_STATE_LEAVING)
+	}
 	if e.wantedRole != "" {
 		message.Role = e.wantedRole
 	}
@@ -74,10 +79,26 @@
 	return &next
 }
 
-// withAnnounced returns a copy with a new announcement and a current lease.
-func (e *endpointEntry) withAnnounced(announced *fleetv1.Endpoint, revision uint64) *endpointEntry {
+// withEvacuated returns a copy in a zone that is, or is no longer, evacuated. An endpoint that
+// has had no work for a while counts as cold when its zone is used again, until its next
+// announcement.
+func (e *endpointEntry) withEvacuated(evacuated bool, revision uint64) *endpointEntry {
+	next := *e
+	next.evacuated = evacuated
+	if !evacuated && e.announced.GetAddr() != "" {
+		next.announced = proto.Clone(e.announced).(*fleetv1.Endpoint)
+		next.announced.Cold = true
+	}
+	next.compose(revision)
+	return &next
+}
+
+// withAnnounced returns a copy with a new announcement and a current lease. evacuated is
+// whether the announced zone is evacuated.
+func (e *endpointEntry) withAnnounced(announced *fleetv1.Endpoint, evacuated bool, revision uint64) *endpointEntry {
 	next := *e
 	next.announced = announced
+	next.evacuated = evacuated
 	next.live = true
 	next.compose(revision)
 	return &next
--- a/contract/harness_test.go
+++ b/contract/harness_test.go
@@ -152,7 +152,9 @@
 }
 
 func (h *harness) stepRare(ref AgentRef, endpoint string) {
-	switch h.rng.IntN(4) {
+	switch h.rng.IntN(5) {
+	case 4:
+		h.evacuate(pick(h.rng, "sahel-a", "sahel-b"), h.rng.IntN(2) == 0)
 	case 0:
 		h.apply(EncodeIssueFence(h.logTime))
 	case 1:
--- a/contract/intent.go
+++ b/contract/intent.go
@@ -45,6 +45,9 @@
 	for _, policy := range intent.GetPolicies() {
 		add(policyKind, policy.GetGroup())
 	}
+	for _, change := range intent.GetZones() {
+		add(zoneKind, change.GetZone())
+	}
 	return refs
 }
 
@@ -140,6 +143,9 @@
 		if entry := s.endpoints[ref.name]; entry != nil {
 			return operatorChange{entry.wantedRevision, entry.intent, true}
 		}
+	case zoneKind:
+		entry := s.zones[ref.name]
+		return operatorChange{entry.revision, entry.intent, s.knowsZone(ref.name)}
 	}
 	removal := s.tombstones.find(ref)
 	return operatorChange{removal.GetRevision(), removal.GetIntentId(), false}
--- a/contract/proposal.go
+++ b/contract/proposal.go
@@ -16,7 +16,9 @@
 	services   map[string]*fleetv1.Service
 	policies   map[string]*fleetv1.BalancePolicy
 	endpoints  map[string]*endpointEntry
-	changes    []*controlv1.Change
+	// zones holds whether each changed zone is evacuated.
+	zones   map[string]bool
+	changes []*controlv1.Change
 }
 
 // propose computes the changes that an intent makes; objects that it declares as they
@@ -29,12 +31,13 @@
 		services:   make(map[string]*fleetv1.Service),
 		policies:   make(map[string]*fleetv1.BalancePolicy),
 		endpoints:  make(map[string]*endpointEntry),
+		zones:      make(map[string]bool),
 	}
 	proposeDeclared(p, workspaceType, intent.GetWorkspaces(), s.workspaces, p.workspaces)
 	proposeDeclared(p, modelType, intent.GetModels(), s.models, p.models)
 	proposeDeclared(p, serviceType, intent.GetServices(), s.services, p.services)
 	proposeDeclared(p, policyType, intent.GetPolicies(), s.policies, p.policies)
-	for _, step := range []func() *fault.Error{p.proposeRemovals, p.proposeEndpoints} {
+	for _, step := range []func() *fault.Error{p.proposeRemovals, p.proposeEndpoints, p.proposeZones} {
 		if err := step(); err != nil {
 			return nil, err
 		}
@@ -170,9 +173,14 @@
 	if len(p.changes) == 0 {
 		return
 	}
-	refs := make([]objectRef, len(p.changes))
-	for i, change := range p.changes {
-		refs[i] = objectRef{objectKind(change.GetKind()), change.GetName()}
+	var refs []objectRef
+	for _, change := range p.changes {
+		ref := objectRef{objectKind(change.GetKind()), change.GetName()}
+		if ref.kind == zoneKind {
+			refs = append(refs, s.setZone(ref.name, p.zones[ref.name], id)...)
+			continue
+		}
+		refs = append(refs, ref)
 	}
 	s.commit(refs)
 }
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -123,6 +123,9 @@
 		entry := s.maps[group]
 		message.Maps = append(message.Maps, &contractv1.MapEntry{Record: entry.record, Fence: entry.fence})
 	}
+	for _, zone := range sortedKeys(s.zones) {
+		message.Zones = append(message.Zones, s.zones[zone].record(zone))
+	}
 	for entry := s.claims.grants.head; entry != nil; entry = entry.links[grantOrder].next {
 		message.Claims = append(message.Claims, entry.record())
 	}
@@ -167,6 +170,9 @@
 	for _, record := range message.GetMaps() {
 		s.maps[record.GetRecord().GetGroup()] = &mapEntry{record: record.GetRecord(), fence: record.GetFence()}
 	}
+	for _, record := range message.GetZones() {
+		s.zones[record.GetZone()] = zoneEntry{evacuated: record.GetEvacuated(), revision: record.GetRevision(), intent: record.GetIntentId()}
+	}
 	s.site = newSiteEntry(message.GetSite())
 	s.loadEndpoints(message)
 	s.loadIntents(message)
@@ -195,6 +201,7 @@
 			wantedState: record.GetWantedState(), wantedRole: record.GetWantedRole(),
 			drainLimitMS: record.GetDrainLimitMs(), intent: record.GetIntentId(),
 			wantedRevision: record.GetWantedRevision(), drained: record.GetDrained(),
+			evacuated: s.isEvacuated(record.GetAnnounced().GetZone()),
 		}
 		entry.compose(record.GetRevision())
 		id := entry.announced.GetId()
--- a/contract/snapshotcheck.go
+++ b/contract/snapshotcheck.go
@@ -19,6 +19,7 @@
 		checkUniqueNames("agent", message.GetAgents(), (*contractv1.AgentRecord).GetName),
 		checkUniqueNames("intent", message.GetIntents(), func(r *contractv1.IntentRecord) string { return r.GetIntent().GetId() }),
 		checkUniqueNames("map", message.GetMaps(), func(r *contractv1.MapEntry) string { return r.GetRecord().GetGroup() }),
+		checkUniqueNames("zone", message.GetZones(), (*contractv1.ZoneRecord).GetZone),
 		checkUniqueNames("claim", message.GetClaims(), claimName),
 		checkClaims(message.GetClaims()),
 		checkRetiredClaims(message),
--- a/contract/state.go
+++ b/contract/state.go
@@ -27,6 +27,8 @@
 	endpoints  map[string]*endpointEntry
 	agents     map[string]*agentEntry
 	maps       map[string]*mapEntry
+	// zones holds the zones that operators have changed.
+	zones map[string]zoneEntry
 	// site is nil if none was published.
 	site *siteEntry
 
@@ -62,6 +64,7 @@
 	s.endpoints = make(map[string]*endpointEntry)
 	s.agents = make(map[string]*agentEntry)
 	s.maps = make(map[string]*mapEntry)
+	s.zones = make(map[string]zoneEntry)
 	s.site = nil
 	s.keyOwners = make(map[string]string)
 	s.intents = newIntentTable()
@@ -128,6 +131,8 @@
 		return s.applyIssueFence()
 	case *contractv1.Command_Publish:
 		return s.applyPublish(kind.Publish)
+	case *contractv1.Command_EvacuateZone:
+		return s.applyEvacuateZone(kind.EvacuateZone)
 	}
 	return &Result{Err: fault.New(fault.Internal, "the log has a command that this version does not support",
 		"upgrade all control replicas before using new features")}
--- a/contract/validate.go
+++ b/contract/validate.go
@@ -70,7 +70,7 @@
 		return fault.Newf(fault.Invalid, "shorten the comment", "the comment is longer than %d bytes", maxCommentBytes)
 	}
 	checks := []func(*controlv1.Intent) *fault.Error{
-		validateWorkspaces, validateModels, validateServices, validateEndpointChanges, validatePolicies, validateUnique,
+		validateWorkspaces, validateModels, validateServices, validateEndpointChanges, validatePolicies, validateZones, validateUnique,
 	}
 	for _, check := range checks {
 		if err := check(intent); err != nil {
@@ -84,7 +84,7 @@
 func validateUnique(intent *controlv1.Intent) *fault.Error {
 	refs := intentRefs(intent)
 	if len(refs) == 0 {
-		return fault.Newf(fault.Invalid, "name at least one workspace, model, service, endpoint or policy",
+		return fault.Newf(fault.Invalid, "name at least one workspace, model, service, endpoint, policy or zone",
 			"intent %s contains no changes", intent.GetId())
 	}
 	slices.SortFunc(refs, compareRefs)
--- a/control/providers.go
+++ b/control/providers.go
@@ -70,8 +70,8 @@
 	return []driver{orders.drive, finish.drive, maps.drive}
 }
 
-func newService(log *server.Server, state *contract.State, t *termManager, pool *link.Pool, collector *statusCollector, published *feedSource) *service {
-	return &service{log: log, state: state, leadership: t, pool: pool, members: membershipService{log: log}, status: collector, feedSource: published}
+func newService(s *Settings, log *server.Server, state *contract.State, t *termManager, pool *link.Pool, collector *statusCollector, published *feedSource) *service {
+	return &service{log: log, state: state, leadership: t, pool: pool, members: membershipService{log: log}, status: collector, feedSource: published, zones: s.Zones}
 }
 
 func newCallTracker() *callTracker { return &callTracker{} }
--- a/control/service.go
+++ b/control/service.go
@@ -33,6 +33,8 @@
 	members    membershipService
 	status     *statusCollector
 	feedSource *feedSource
+	// zones are the configured availability zones; empty if they are not configured.
+	zones []string
 }
 
 // Plan implements controlv1.ControlServer.
--- a/control/settings.go
+++ b/control/settings.go
@@ -23,6 +23,9 @@
 	ID uint64
 	// Host and Zone are the host that the replica runs on and its availability zone.
 	Host, Zone string
+	// Zones are the availability zones of the deployment; empty if they are known from
+	// announcements only.
+	Zones []string
 	// Listen is the address of the replica's services. Peers are the addresses by which the
 	// replicas reach each other, by replica ID and including this replica.
 	Listen string
@@ -88,6 +91,7 @@
 	set.Int(&id, "id", 0, "number of this replica, unique in the cluster; derived from -listen if -seeds is set", setting.Min(0))
 	set.String(&s.Host, "host", "", "name of the host; control-<id> if empty", setting.Name)
 	set.String(&s.Zone, "zone", "", "availability zone of the host", setting.Name)
+	set.List(&s.Zones, "zones", nil, "availability zones of the deployment; empty accepts those of announced endpoints only", setting.Name)
 	set.String(&s.Listen, "listen", "127.0.0.1:7300", "address of the services", setting.Required, setting.HostPort)
 	set.List(&peers, "peers", nil, "the initial voters, including this replica, as id=host:port; with -join the replicas to contact")
 	set.List(&s.Seeds, "seeds", nil, "addresses of some replicas, instead of -peers; ids are then derived from addresses", setting.HostPort)
--- a/control/status.go
+++ b/control/status.go
@@ -63,6 +63,8 @@
 		Term:     term,
 		Leader:   leader,
 		Daemons:  c.daemons.List(time.Now()),
+
+		EvacuatedZones: c.state.EvacuatedZones(),
 	}
 	status := c.members.Status()
 	for _, member := range status.Membership.GetMembers() {
--- a/control/wire_gen.go
+++ b/control/wire_gen.go
@@ -32,7 +32,7 @@
 	controlStatusCollector := newStatusCollector(settings, server, state, feedServer, pool)
 	v2 := newDrivers(settings, server, state, pool, controlStatusCollector, logger)
 	controlTermManager := newTermManager(settings, server, state, v2, logger)
-	controlService := newService(server, state, controlTermManager, pool, controlStatusCollector, controlFeedSource)
+	controlService := newService(settings, server, state, controlTermManager, pool, controlStatusCollector, controlFeedSource)
 	controlCallTracker := newCallTracker()
 	grpcServer, err := newServer(settings, server, controlService, feedServer, controlCallTracker)
 	if err != nil {
--- a/operator/fields.go
+++ b/operator/fields.go
@@ -11,6 +11,7 @@
 	"routeSpec":     yamlFieldNames[routeSpec](),
 	"endpointSpec":  yamlFieldNames[endpointSpec](),
 	"policySpec":    yamlFieldNames[policySpec](),
+	"zoneSpec":      yamlFieldNames[zoneSpec](),
 }
 
 func yamlFieldNames[T any]() []string {
--- a/operator/intentfile.go
+++ b/operator/intentfile.go
@@ -33,6 +33,7 @@
 	RemoveServices   []string        `yaml:"remove_services"`
 	Endpoints        []endpointSpec  `yaml:"endpoints"`
 	Policies         []policySpec    `yaml:"policies"`
+	Zones            []zoneSpec      `yaml:"zones"`
 }
 
 // workspaceSpec is an item of workspaces; its fields are those of fleetv1.Workspace.
@@ -122,6 +123,16 @@
 	return &fleetv1.BalancePolicy{Group: p.Group, Evenness: p.Evenness, MaxMoves: p.MaxMoves, StoreShare: p.StoreShare}
 }
 
+// zoneSpec is an item of zones: whether an availability zone is evacuated.
+type zoneSpec struct {
+	Zone      string `yaml:"zone"`
+	Evacuated bool   `yaml:"evacuated"`
+}
+
+func (z zoneSpec) toProto() *controlv1.ZoneChange {
+	return &controlv1.ZoneChange{Zone: z.Zone, Evacuated: z.Evacuated}
+}
+
 // duration is a duration in an intent file, written with its unit, such as 1500ms or
 // 30s.
 type duration time.Duration
@@ -212,6 +223,7 @@
 		Services: convertAll(f.Services, serviceSpec.toProto), RemoveServices: f.RemoveServices,
 		Endpoints: convertAll(f.Endpoints, endpointSpec.toProto),
 		Policies:  convertAll(f.Policies, policySpec.toProto),
+		Zones:     convertAll(f.Zones, zoneSpec.toProto),
 	}
 }
 
--- a/operator/table.go
+++ b/operator/table.go
@@ -132,6 +132,9 @@
 	if status.GetSlowestDaemon() != "" {
 		fmt.Fprintf(w, "Slowest daemon: %s, at revision %d\n", status.GetSlowestDaemon(), status.GetSlowestRevision())
 	}
+	if zones := status.GetEvacuatedZones(); len(zones) > 0 {
+		fmt.Fprintf(w, "Evacuated zones: %s\n", strings.Join(zones, ", "))
+	}
 }
 
 func writeStatus(w io.Writer, status *controlv1.StatusResponse) {
