--- a/gate/rate_test.go
+++ b/gate/rate_test.go
@@ -109,3 +109,22 @@
 	is.Equal(later.Decision, Refuse)
 	is.Equal(later.Fault.Kind, fault.Fenced)
 }
+
+// Guards against polls that come on top of the rate limit: dispatches and polls together must keep to
+// it.
+func TestPollsCountTowardsRateLimit(t *testing.T) {
+	is := is.New(t)
+	g := newRateTestGate()
+	const rate, seconds = 8, 20
+	g.LearnRateLimit(2*time.Second, "e", ratelimit.Limit{Rate: rate, SentAt: time.Second, ReceivedAt: 2 * time.Second})
+	dispatches, polls := 0, 0
+	for now := 2 * time.Second; now < (2+seconds)*time.Second; now += 50 * time.Millisecond {
+		if ok, _ := g.AdmitPoll(now, "e"); ok {
+			polls++
+		}
+		dispatches += countAdmitted(g, now, now+50*time.Millisecond, nil)
+	}
+	t.Logf("%d dispatches and %d polls in %d s under a limit of %d per second", dispatches, polls, seconds, rate)
+	is.True(polls >= 1)
+	is.True(dispatches+polls <= rate*seconds+rate/2) // the limit and a burst
+}
