entry: cold rates are in force before the first site, and a test's configurer has the limits that it needs

The test sets the field now. Beside it, a fresh entry published its first site before it knew which endpoints are cold; the order is changed, so that no request can slip through between the two. Where no pool states a cold rate nothing changes.

--- a/entry/configure.go
+++ b/entry/configure.go
@@ -49,8 +49,8 @@
 		c.forget(id)
 	}
 	if delta.GetSite() != nil {
-		c.publishSite(site.NewTable(view.Site))
 		c.applyColdRates(view.Site, view.Endpoints.All())
+		c.publishSite(site.NewTable(view.Site))
 	} else {
 		c.applyColdRates(view.Site, byID(delta.GetEndpoints()))
 	}
--- a/entry/late_startup_test.go
+++ b/entry/late_startup_test.go
@@ -37,7 +37,7 @@
 	}, func() time.Duration { return time.Second })
 	c := &configurer{
 		directory: NewDirectory(), table: table, admission: admissions, loads: loads, groups: groups, routed: server,
-		index: prefix.New(prefix.Config{}), outliers: outlier.New(outlier.Config{}), reach: reach.New(),
+		index: prefix.New(prefix.Config{}), outliers: outlier.New(outlier.Config{}), reach: reach.New(), limits: limits,
 		reports: NewReportSubscriber(Config{}, nil, table, loads, nil, nil, groups, nil, quarantine.NewTracker(), limits, suspicion.NewTracker(1), slog.New(slog.DiscardHandler)),
 	}
 	delta := &fleetv1.Delta{ToRevision: 1, Site: &fleetv1.Site{
