--- a/contract/zone.go
+++ b/contract/zone.go
@@ -121,7 +121,7 @@
 }
 
 // validateZones checks the zones of an intent. An endpoint and its zone cannot change in one
-// intent, since the plan could not tell their effects apart.
+// intent, since their effects on the endpoint could contradict each other.
 func validateZones(intent *controlv1.Intent) *fault.Error {
 	for _, change := range intent.GetZones() {
 		if err := checkName("zone", change.GetZone()); err != nil {
--- a/entry/cold_test.go
+++ b/entry/cold_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -101,28 +100,7 @@
 	is := is.New(t)
 	f := newColdFleet(t, 2, 2, 3, 1)
 	f.startEntry(0.01)
-	served, refused := 0, 0
-	since := time.Now()
-	for time.Since(since) < 3*time.Second {
-		r, err := http.NewRequest(http.MethodGet, f.entries[0].URL+"/read/x", nil)
-		is.NoErr(err)
-		r.Host = "crew.example"
-		response, err := http.DefaultClient.Do(r)
-		is.NoErr(err)
-		_, _ = io.Copy(io.Discard, response.Body)
-		_ = response.Body.Close()
-		switch response.StatusCode {
-		case http.StatusOK:
-			served++
-		case http.StatusServiceUnavailable:
-			refused++
-			is.True(response.Header.Get("Retry-After") != "")
-			is.Equal(response.Header.Get("Lilackeel-Outcome"), "not-run")
-		default:
-			t.Fatalf("status %d", response.StatusCode)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	served, refused := f.countOutcomes(3 * time.Second)
 	t.Logf("%d served and %d refused in 3 s by two endpoints that take 1 request per second each", served, refused)
 	is.True(served >= 3)
 	is.True(served <= 2*allowed(1, 3*time.Second))
--- a/entry/ratelimit_lifecycle_test.go
+++ b/entry/ratelimit_lifecycle_test.go
@@ -54,17 +54,12 @@
 	is.Equal(f.other.Load(), int64(0))
 }
 
-// Guards against requests waiting, or being sent in excess of the limit, when all remaining
-// endpoints advertise a limit.
-func TestRequestsAboveRateLimitAreRefused(t *testing.T) {
-	t.Parallel()
-	is := is.New(t)
-	f := newRoutedFleet(t, 1, 3)
-	f.services[0].SetFaults(standin.Faults{RateLimit: "2"})
-	f.startEntry(0.01)
-	since := time.Now()
-	served, refused := 0, 0
-	for time.Since(since) < 3*time.Second {
+// countOutcomes sends requests to the first entry, one after the other, and returns how many are
+// served and how many refused at once with a time to retry.
+func (f *routedFleet) countOutcomes(duration time.Duration) (served, refused int) {
+	f.t.Helper()
+	is := is.New(f.t)
+	for since := time.Now(); time.Since(since) < duration; time.Sleep(10 * time.Millisecond) {
 		r, err := http.NewRequest(http.MethodGet, f.entries[0].URL+"/read/x", nil)
 		is.NoErr(err)
 		r.Host = "crew.example"
@@ -80,10 +75,21 @@
 			is.True(response.Header.Get("Retry-After") != "")
 			is.Equal(response.Header.Get("Lilackeel-Outcome"), "not-run")
 		default:
-			t.Fatalf("status %d", response.StatusCode)
+			f.t.Fatalf("status %d", response.StatusCode)
 		}
-		time.Sleep(10 * time.Millisecond)
 	}
+	return served, refused
+}
+
+// Guards against requests waiting, or being sent in excess of the limit, when all remaining
+// endpoints advertise a limit.
+func TestRequestsAboveRateLimitAreRefused(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newRoutedFleet(t, 1, 3)
+	f.services[0].SetFaults(standin.Faults{RateLimit: "2"})
+	f.startEntry(0.01)
+	served, refused := f.countOutcomes(3 * time.Second)
 	t.Logf("%d served and %d refused in 3 s under a limit of 2 per second", served, refused)
 	is.True(served >= 3) // the limit is used
 	is.True(served <= allowed(2, 3*time.Second))
