rankhost, api: hosts report how much slower than nominal an engine works

Nothing read the pace that an engine states.

Hosts now read it and pass it on with loads and expert counts; the setting report-slowdown decides when. auto needs the engine's start time, without which a value cannot be tied to one run of the engine. Invalid values count as none. Nothing uses the values yet.

--- a/group/fanout/fanout.go
+++ b/group/fanout/fanout.go
@@ -124,4 +124,5 @@
 	sum.FromStep = min(sum.GetFromStep(), load.GetFromStep())
 	sum.ToStep = max(sum.GetToStep(), load.GetToStep())
 	sum.MoreRanks = append(append(sum.MoreRanks, load.GetRank()), load.GetMoreRanks()...)
+	sum.Slowdowns = append(sum.Slowdowns, load.GetSlowdowns()...)
 }
--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -65,6 +65,7 @@
 	host := NewHost(Config{
 		Engine: engine, MapReader: controlMapReader{finder}, Logger: logger,
 		PollInterval: settings.PollInterval, CountInterval: settings.CountInterval,
+		ReportSlowdown: settings.ReportSlowdown,
 	})
 	server := grpc.NewServer(options...)
 	agentv1.RegisterAgentServer(server, &service{
@@ -216,5 +217,6 @@
 	return &agentv1.Report{Readers: s.readers.Load(), Loads: []*agentv1.LoadReport{{
 		Endpoint: s.endpoint, Running: int32(status.Running), Waiting: int32(status.Waiting),
 		Group: status.Group, Closed: status.Group != "" && !status.Open,
+		Slowdown: reportedSlowdown(status, s.host.cfg.ReportSlowdown),
 	}}}
 }
--- a/rankhost/engine.go
+++ b/rankhost/engine.go
@@ -29,6 +29,9 @@
 	// zero if the engine does not report it. After a restart the engine has lost all orders that it
 	// was given before.
 	Started uint64
+	// Slowdown is the factor by which the engine states that it works slower than nominal; zero if
+	// it states none.
+	Slowdown float64
 	// Running and Waiting are the numbers of requests in the batch and in the queue.
 	Running, Waiting int
 }
--- a/rankhost/group.go
+++ b/rankhost/group.go
@@ -97,6 +97,7 @@
 	for _, load := range response.Loads {
 		load.Layer = tally.AllLayers
 	}
+	h.addSlowdown(response.Loads)
 	return response
 }
 
--- a/rankhost/host.go
+++ b/rankhost/host.go
@@ -52,7 +52,9 @@
 	// PollInterval is the poll interval while no switch is in progress, CountInterval the least
 	// time between two reads of the expert counts.
 	PollInterval, CountInterval time.Duration
-	Logger                      *slog.Logger
+	// ReportSlowdown is as in Settings; empty is SlowdownAuto.
+	ReportSlowdown string
+	Logger         *slog.Logger
 }
 
 // Host polls one engine and sends it the orders of its Controller.
@@ -213,6 +215,7 @@
 func (h *Host) recordStatus(status Status, readAt time.Time) {
 	previous := h.status
 	h.status, h.statusAt, h.statusMalformed = status, readAt, false
+	h.logSlowdown(previous, status)
 	same := h.controller != nil && sameMembership(previous, status)
 	if same && previous.Open == status.Open {
 		return
--- a/rankhost/settings.go
+++ b/rankhost/settings.go
@@ -23,6 +23,9 @@
 	PollInterval, CountInterval time.Duration
 	// HeartbeatInterval is the average interval between announcements.
 	HeartbeatInterval time.Duration
+	// ReportSlowdown is when the engine's slowdown is reported: SlowdownAuto, SlowdownOn or
+	// SlowdownOff.
+	ReportSlowdown string
 	// Link configures the security of connections, Telemetry logs, metrics and traces.
 	Link      link.Config
 	Telemetry telemetry.Config
@@ -44,6 +47,8 @@
 	set.Duration(&s.PollInterval, "poll-interval", 100*time.Millisecond, "poll interval of the engine while no switch of maps is in progress", millisecond)
 	set.Duration(&s.CountInterval, "count-interval", 50*time.Millisecond, "least time between two reads of the expert counts, which the control leader requests", millisecond)
 	set.Duration(&s.HeartbeatInterval, "heartbeat-interval", time.Second, "average interval between announcements", millisecond)
+	set.String(&s.ReportSlowdown, "report-slowdown", SlowdownAuto, "whether entries and the control leader learn how much slower than nominal the engine works; auto: if the engine states when it started",
+		setting.OneOf(SlowdownAuto, SlowdownOn, SlowdownOff))
 	s.Telemetry.AdminListen = defaultAdminListen
 	link.Settings(set, &s.Link)
 	telemetry.RegisterSettings(set, &s.Telemetry)
