--- a/group/fanout/fanout_test.go
+++ b/group/fanout/fanout_test.go
@@ -91,3 +91,20 @@
 	is.Equal(merged.GetLoads()[0].GetMoreRanks(), []int32{1, 2})
 	is.Equal(merged.GetLoads()[1].GetTokens(), []uint64{5, 5})
 }
+
+// Guards against a slow rank that counts as nominal because its load was added to that of others.
+func TestMergedLoadsKeepTheSlowdownsOfAllRanks(t *testing.T) {
+	is := is.New(t)
+	load := func(rank int32, slowdowns ...*agentv1.RankSlowdown) *agentv1.GroupResponse {
+		return &agentv1.GroupResponse{Loads: []*agentv1.ExpertLoad{{Group: "g", Rank: rank, Tokens: []uint64{1}, Slowdowns: slowdowns}}}
+	}
+	sum := load(0)
+	Merge(sum, load(1, &agentv1.RankSlowdown{Rank: 1, Slowdown: 2.26}))
+	Merge(sum, load(2))
+	Merge(sum, load(3, &agentv1.RankSlowdown{Rank: 3, Slowdown: 12}))
+	is.Equal(len(sum.GetLoads()), 1)
+	slowdowns := sum.GetLoads()[0].GetSlowdowns()
+	is.Equal(len(slowdowns), 2)
+	is.Equal(slowdowns[0].GetRank(), int32(1))
+	is.Equal(slowdowns[1].GetSlowdown(), 12.0)
+}
