control/expertmap, group/balance: expert maps take the speed of ranks into account

A rank that works slower than nominal kept its share of the experts, and all others waited for it in each set and in the fixed part of the step.

The Follower gets the cost of each rank (SetRankCosts); the fixed part of a step counts with the highest cost, the experts' part with the cost of the busiest rank. FollowingProposer records the slowdowns that come with the counts and sets the costs before each decision. A slowdown that arrives in the tail of a poll leads to another decision at once. A new leader that has learned of a slow rank decides only once all ranks have been asked.

--- a/control/expertmap/following.go
+++ b/control/expertmap/following.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
@@ -35,6 +36,11 @@
 	// until a decision has been made on it.
 	lastObservation time.Duration
 	undecided       bool
+	// observations is the number of observations of demand so far.
+	observations int
+	// speeds are the slowdowns that the ranks report, costs those in use for decisions.
+	speeds *balance.RankSpeeds
+	costs  []float64
 	// demandLifetime estimates how long demand stays the same.
 	demandLifetime balance.DemandLifetime
 	// stalls estimates the cost of switches apart from their copies.
@@ -51,12 +57,18 @@
 	if g == nil {
 		return
 	}
+	g.recordSpeeds(now, load)
+	if g.observations > 0 && now-g.lastObservation < f.Interval/2 && !slices.Equal(g.speeds.Costs(now), g.costs) {
+		// A slowdown that came after enough other ranks of the same poll.
+		g.undecided = true
+	}
 	g.totals.add(now, load)
 	g.maxStep = max(g.maxStep, load.GetToStep())
 	if now-g.lastObservation < f.Interval/2 || !g.totals.sufficient(now, f.Interval) {
 		return
 	}
 	g.lastObservation, g.undecided = now, true
+	g.observations++
 	g.follower.Observe(g.totals.tokens)
 	g.totals = newTotals(g.shape)
 	if g.follower.Jumped() {
@@ -64,6 +76,41 @@
 	}
 }
 
+// recordSpeeds records the slowdowns of the ranks of a load. Those without one are nominal.
+func (g *followerState) recordSpeeds(now time.Duration, load *agentv1.ExpertLoad) {
+	reported := load.GetSlowdowns()
+	record := func(rank int32) {
+		slowdown := 1.0
+		for _, item := range reported {
+			if item.GetRank() == rank {
+				slowdown = item.GetSlowdown()
+			}
+		}
+		g.speeds.Record(now, int(rank), slowdown)
+	}
+	record(load.GetRank())
+	for _, rank := range load.GetMoreRanks() {
+		record(rank)
+	}
+}
+
+// knowsSpeeds reports whether each rank has been asked for its slowdown, if any has reported
+// one. A new leader would otherwise give their shares back to the slow ranks that its first poll
+// did not ask.
+func (g *followerState) knowsSpeeds() bool {
+	return g.observations >= pollRounds(g.shape.Ranks) || countSlow(g.costs) == 0
+}
+
+// countSlow returns the number of ranks that are not nominal.
+func countSlow(costs []float64) (count int) {
+	for _, cost := range costs {
+		if cost != 1 {
+			count++
+		}
+	}
+	return count
+}
+
 // RecordSwitch implements Proposer.
 func (f *FollowingProposer) RecordSwitch(now time.Duration, name string, overrun time.Duration) {
 	if g := f.group(name); g != nil {
@@ -77,7 +124,12 @@
 	if g == nil || !g.undecided {
 		return group.Map{}, false
 	}
+	g.costs = g.speeds.Costs(now)
+	if !g.knowsSpeeds() {
+		return group.Map{}, false
+	}
 	g.undecided = false
+	g.follower.SetRankCosts(g.costs)
 	g.stepTime.Observe(now, g.maxStep, g.follower.RelativeStepTime(current))
 	g.follower.SetStepTime(g.stepTime.UnitTime(), f.maxGap(name))
 	g.follower.SetLifetime(g.demandLifetime.Remaining(now).Seconds())
@@ -89,10 +141,16 @@
 	if !decision.Switch {
 		return group.Map{}, false
 	}
-	f.Logger.Info("switching an expert map", slog.String("group", name),
+	attributes := []any{
+		slog.String("group", name),
 		slog.Float64("skew", g.follower.Skew(current)), slog.Float64("expected", g.follower.Skew(decision.Map)), slog.Int("moves", decision.Moves),
 		slog.Float64("saving", decision.Saving), slog.Duration("pass", g.expectedStepTime(current)),
-		slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost))
+		slog.Float64("gain_s", decision.Gain), slog.Float64("cost_s", decision.Cost),
+	}
+	if slow := countSlow(g.costs); slow > 0 {
+		attributes = append(attributes, slog.Int("slow_ranks", slow), slog.Float64("highest_cost", slices.Max(g.costs)))
+	}
+	f.Logger.Info("switching an expert map", attributes...)
 	return decision.Map, true
 }
 
@@ -121,7 +179,7 @@
 	if f.groups == nil {
 		f.groups = map[string]*followerState{}
 	}
-	g := &followerState{follower: balance.NewFollower(config), shape: config.Shape, totals: newTotals(config.Shape)}
+	g := &followerState{follower: balance.NewFollower(config), shape: config.Shape, totals: newTotals(config.Shape), speeds: balance.NewRankSpeeds(config.Shape.Ranks)}
 	f.groups[name] = g
 	return g
 }
--- a/group/balance/doc.go
+++ b/group/balance/doc.go
@@ -7,7 +7,7 @@
 // last, with the cost of loading weights, stalling the group and losing cached
 // prefixes. It proposes a map only if the saving exceeds what the forecast's error
 // alone could account for. A Follower does the same for groups whose demand jumps
-// every few seconds.
+// every few seconds. RankSpeeds keeps what the ranks of a group report of their speed.
 //
 // Loads are in tokens per step and times in seconds unless a name says otherwise.
 // Nothing here reads a clock or starts a goroutine; a Balancer is not safe for
--- a/group/balance/evaluate.go
+++ b/group/balance/evaluate.go
@@ -26,11 +26,11 @@
 		moves += count
 		most = max(most, count)
 	}
-	stepBefore := before + f.config.FixedRatio*mean
+	stepBefore := before + f.fixedRatio()*mean
 	o := option{copySeconds: float64(most) * f.config.CopySeconds}
 	o.totalSeconds = o.copySeconds + f.config.CoordinationSeconds
 	o.Decision = Decision{Map: next, Moves: moves, Saving: (before - after) / stepBefore, Lifetime: f.config.LifetimeSeconds}
-	o.stepBenefit = f.stepBenefit(stepBefore/mean, (after+f.config.FixedRatio*mean)/mean)
+	o.stepBenefit = f.stepBenefit(stepBefore/mean, (after+f.fixedRatio()*mean)/mean)
 	o.Gain = o.stepBenefit * f.remainingLifetime(o.totalSeconds)
 	o.Cost = o.copySeconds*f.config.CopySlowdown + f.stallSeconds() + float64(moves)*f.config.MoveSeconds
 	o.Switch = moves > 0 && o.Gain > o.Cost
--- a/group/balance/follow.go
+++ b/group/balance/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/lilackeel/lilackeel/group"
@@ -43,7 +44,10 @@
 	config FollowConfig
 	layers []demand
 	load   []float64
-	cost   []float64
+	// cost is the time that a unit of load takes on each rank, 1 being nominal, and highestCost
+	// the highest of them.
+	cost        []float64
+	highestCost float64
 	// lastRejection is the last decision not to switch.
 	lastRejection rejection
 	// stall is the cost set by SetStall.
@@ -70,7 +74,7 @@
 	shape := config.Shape
 	f := &Follower{
 		config: config, layers: make([]demand, shape.Layers),
-		load: make([]float64, shape.Layers*shape.Experts), cost: make([]float64, shape.Ranks),
+		load: make([]float64, shape.Layers*shape.Experts), cost: make([]float64, shape.Ranks), highestCost: 1,
 	}
 	for rank := range f.cost {
 		f.cost[rank] = 1
@@ -106,7 +110,21 @@
 
 // RelativeStepTime returns the time of a step under a map, relative to the mean time that a
 // rank spends on experts.
-func (f *Follower) RelativeStepTime(m group.Map) float64 { return f.config.FixedRatio + f.Skew(m) }
+func (f *Follower) RelativeStepTime(m group.Map) float64 { return f.fixedRatio() + f.Skew(m) }
+
+// SetRankCosts sets the time that a unit of load takes on each rank, 1 being nominal. Initially
+// all ranks are nominal.
+func (f *Follower) SetRankCosts(costs []float64) {
+	if slices.Equal(f.cost, costs) {
+		return
+	}
+	copy(f.cost, costs)
+	f.highestCost = slices.Max(f.cost)
+	f.lastRejection = rejection{}
+}
+
+// fixedRatio is FollowConfig.FixedRatio on the slowest rank, for which the others wait.
+func (f *Follower) fixedRatio() float64 { return f.config.FixedRatio * f.highestCost }
 
 func (f *Follower) stallSeconds() float64 { return f.config.StallSeconds + f.stall }
 
@@ -265,8 +283,8 @@
 	return d.digest == current.Digest() && skew <= d.skew*(1+skewTolerance) && f.config.LifetimeSeconds <= d.lifetime*2
 }
 
-// Skew returns the ratio of the load of the busiest ranks to the mean load under a map,
-// over all layers.
+// Skew returns the ratio of the load of the busiest ranks, weighted by their costs, to the mean
+// load under a map, over all layers.
 func (f *Follower) Skew(m group.Map) float64 {
 	busiest, mean := StepLoad(f.config.Shape, m, f.load, f.cost)
 	if mean <= 0 {
