group/balance: the search for maps goes on where the busiest of several slow ranks has no copies left

The search takes load from the busiest rank only and ends when that rank may take no more copies.

Where costs differ, it goes on with the next slow rank, may leave a slot empty whose expert has other replicas, which needs no copy, and looks for no swaps of a rank that may copy nothing. Where costs do not differ, nothing changes.

--- a/group/balance/layer.go
+++ b/group/balance/layer.go
@@ -13,9 +13,13 @@
 	slots     []uint16  // aliases the map
 	load      []float64 // forecast load of each expert
 	cost      []float64 // time that a unit of load takes on each rank; 1 is nominal
+	uneven    bool      // the costs differ
 	replicas  []int
 	holders   [][]int   // the ranks that hold each expert
 	rankLoads []float64 // cost-weighted load of each rank
+	// exhausted are the ranks from which no change within the limits takes load, which saves
+	// looking for one again.
+	exhausted []bool
 	// originalSlots are the slots before any change. layerBudget is how many experts of
 	// this layer each rank may still take that it does not have in originalSlots,
 	// totalBudget how many of all layers; nil for no such bounds.
@@ -50,13 +54,19 @@
 
 // withinBudget reports whether the budgets of a rank allow it to take an expert.
 func (l *layer) withinBudget(rank int, expert uint16) bool {
-	return l.layerBudget == nil || l.layerBudget[rank] > 0 && l.totalBudget[rank] > 0 || !l.needsCopy(rank, expert)
+	return l.mayCopy(rank) || !l.needsCopy(rank, expert)
+}
+
+// mayCopy reports whether the budgets of a rank allow it to take an expert that it has to load.
+func (l *layer) mayCopy(rank int) bool {
+	return l.layerBudget == nil || l.layerBudget[rank] > 0 && l.totalBudget[rank] > 0
 }
 
 func newLayer(shape group.Shape, slots []uint16, load, cost []float64) *layer {
-	l := &layer{shape: shape, slots: slots, load: load, cost: cost}
+	l := &layer{shape: shape, slots: slots, load: load, cost: cost, uneven: slices.Min(cost) != slices.Max(cost)}
 	l.replicas = make([]int, shape.Experts)
 	l.rankLoads = make([]float64, shape.Ranks)
+	l.exhausted = make([]bool, shape.Ranks)
 	l.holders = make([][]int, shape.Experts)
 	for slot, expert := range slots {
 		if expert != group.Empty {
--- a/group/balance/plan.go
+++ b/group/balance/plan.go
@@ -58,6 +58,7 @@
 	}
 	p.limit = limit
 	for n := range p.layers {
+		clear(p.layers[n].exhausted)
 		p.changes[n] = p.layers[n].findScoredChange()
 	}
 	for p.step() {
@@ -165,14 +166,75 @@
 	s.initialNorm = norm(s.total, len(l.rankLoads))
 	s.lowest[0].total, s.lowest[1].total = s.total, s.total
 	busiest, _ := l.busiest()
-	for i, expert := range l.rankSlots(busiest) {
+	if !l.uneven {
+		s.scoreRank(busiest)
+		return s.best()
+	}
+	s.scoreSlowRanks(busiest)
+	return s.best()
+}
+
+// scoreRank evaluates the changes that take load from a rank.
+func (s *search) scoreRank(rank int) {
+	for i, expert := range s.rankSlots(rank) {
 		if expert == group.Empty {
 			continue
 		}
+		slot := rank*s.shape.Slots + i
 		s.scoreReplicas(expert)
-		s.scoreSwaps(busiest, busiest*l.shape.Slots+i)
+		// A rank that may take no copies can only take back what it has given up, which is
+		// seldom better than giving up more.
+		if !s.uneven || s.mayCopy(rank) {
+			s.scoreSwaps(rank, slot)
+		}
+		if s.uneven {
+			s.scoreRemoval(rank, slot)
+		}
+	}
+}
+
+// scoreSlowRanks evaluates the changes that take load from the busiest rank or, if there are none,
+// from the busiest slow rank for which there are some. Where many ranks are slow, the busiest may
+// have no copies left while others could still give up load.
+func (s *search) scoreSlowRanks(busiest int) {
+	for rank := busiest; rank >= 0; rank = s.nextSlowRank() {
+		if s.exhausted[rank] {
+			continue
+		}
+		s.scoreRank(rank)
+		if s.lowest[0].change.moves > 0 || s.lowest[1].change.moves > 0 {
+			return
+		}
+		s.exhausted[rank] = true
+	}
+}
+
+// nextSlowRank returns the slow rank with the highest load above the mean for which there may be
+// changes, or -1.
+func (s *search) nextSlowRank() int {
+	next := -1
+	for rank, load := range s.rankLoads {
+		if !s.exhausted[rank] && s.cost[rank] > 1 && load > s.meanLoad && (next < 0 || load > s.rankLoads[next]) {
+			next = rank
+		}
+	}
+	return next
+}
+
+// scoreRemoval evaluates leaving a slot of a rank empty whose expert has other replicas.
+func (s *search) scoreRemoval(rank, slot int) {
+	expert := s.slots[slot]
+	if s.replicas[expert] < 2 {
+		return
+	}
+	for other := range s.reducedLoads {
+		s.reducedLoads[other] = -1
+	}
+	load := max(s.rankLoads[rank]-s.replicaLoads[expert]*s.cost[rank], 0)
+	sum := s.total + power16(load/s.meanLoad) - s.powers[rank]
+	if sum += s.removalPenalty(expert, rank); s.improves(1, sum) {
+		s.keep(change{slot: slot, expert: group.Empty, moves: 1}, sum)
 	}
-	return s.best()
 }
 
 // improves reports whether a sum of powers is lower than those of all previous changes with
