endpoint/speed, endpoint/pick: slow endpoints get calls only when the others are full

Cause: entries placed calls at ranks that report a slowdown as at any other. One slow rank lengthens every step of its group, and each call that it gets lengthens it more.

Change: the new speed.Tracker keeps the reported slowdowns (valid for 2 s, 0.25 to 64, within 10% of 1 nominal). Where a pool has slow endpoints, the picker prefers endpoints that are not slow and have a free slot, then slow ones with a free slot, then full ones; if the sampled candidates contain none of the first kind, it looks through up to 256 endpoints. Above two thirds slow only the cost decides, so that entries don't flood the few others between two reports. Without a known slowdown selections and random draws are unchanged.

--- a/endpoint/load/estimate.go
+++ b/endpoint/load/estimate.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 )
 
 // Defaults of Config and of values that have not been reported yet.
@@ -31,6 +32,8 @@
 	// PredictionErrorTTL is the time after which a prediction error that is not
 	// observed again has decayed to zero. Negative: prediction errors are ignored.
 	PredictionErrorTTL time.Duration
+	// Speeds gets the slowdowns that are reported; nil if they are not used.
+	Speeds *speed.Tracker
 }
 
 func (c Config) withDefaults() Config {
--- a/endpoint/load/load.go
+++ b/endpoint/load/load.go
@@ -8,8 +8,8 @@
 // endpoint that under-reports its load is detected.
 //
 // Times are monotonic, expressed as time.Duration since an arbitrary start. All
-// methods are safe for concurrent use; no other lock is acquired while the
-// tracker's lock is held.
+// methods are safe for concurrent use; no other lock but that of Config.Speeds is
+// acquired while the tracker's lock is held.
 package load
 
 import "time"
@@ -38,6 +38,9 @@
 	// other engine within the pool. An engine that reports it must not be judged
 	// by call latency as well, since the two are not comparable.
 	OwnStep time.Duration
+	// Slowdown is the factor by which the endpoint states that it works slower than
+	// nominal; zero if unknown.
+	Slowdown float64
 	// Adapters are the adapters resident in the engine's memory.
 	Adapters []string
 }
--- a/endpoint/load/tracker.go
+++ b/endpoint/load/tracker.go
@@ -62,6 +62,7 @@
 	}
 	rec.applyReport(now, taken, r)
 	rec.invalidateGroup()
+	t.config.Speeds.Report(taken, id, r.Slowdown)
 }
 
 // Sent records that this entry dispatches a call of the given size to id. The
@@ -166,6 +167,7 @@
 		t.unbind(rec)
 		delete(t.records, id)
 	}
+	t.config.Speeds.Forget(id)
 }
 
 // record returns the record of the endpoint, creating it if necessary.
--- a/endpoint/pick/config.go
+++ b/endpoint/pick/config.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/lilackeel/lilackeel/endpoint/load"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 )
 
 // Defaults of Config.
@@ -57,6 +58,8 @@
 	// Import is the cost of moving cached prefixes between engines; nil if the
 	// engines do not support it.
 	Import *Import
+	// Speeds provides the slowdowns of endpoints; nil if none are known.
+	Speeds *speed.Tracker
 	// Scorers replaces the default scorers; nil selects the defaults.
 	Scorers []Scorer
 }
@@ -96,6 +99,7 @@
 		Isolation{OutsideShardCost: c.OutsideShardCost},
 		Skew{StepPerRequest: c.StepPerRequest, Weight: c.SkewWeight},
 		CallCount{PerCall: c.PerCall},
+		Slowdown{},
 	}
 }
 
--- a/endpoint/pick/pick.go
+++ b/endpoint/pick/pick.go
@@ -52,6 +52,9 @@
 	Endpoint *endpoint.Endpoint
 	// Load is the tracker's load estimate for the endpoint.
 	Load load.Estimate
+	// Slowdown is the factor by which the endpoint works slower than nominal; at most 1, or zero,
+	// if it is not slow.
+	Slowdown float64
 	// Matched is the number of leading blocks of the prompt that are expected to
 	// be cached at the endpoint.
 	Matched int
--- a/endpoint/pick/picker.go
+++ b/endpoint/pick/picker.go
@@ -75,6 +75,9 @@
 			return endpoint.Endpoint{}, explain, refused
 		}
 	}
+	if p.config.Speeds.Any(now) {
+		p.preferFast(s, list, view)
+	}
 	explain.Dropped = max(0, explain.Considered-len(s.candidates))
 	p.score(s)
 	p.choose(s, &explain)
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -18,6 +18,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
 	"github.com/lilackeel/lilackeel/endpoint/reach"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/link"
@@ -35,19 +36,21 @@
 	})
 }
 
-func newTracker(cfg Config, table *endpoint.Table) *load.Tracker {
-	return load.New(load.Config{Peers: cfg.Peers}, table)
+func newTracker(cfg Config, table *endpoint.Table, speeds *speed.Tracker) *load.Tracker {
+	return load.New(load.Config{Peers: cfg.Peers, Speeds: speeds}, table)
 }
 
 func newIndex() *prefix.Index { return prefix.New(prefix.Config{}) }
 
 func newDetector() *outlier.Detector { return outlier.New(outlier.Config{}) }
 
-func newPicker(cfg Config, table *endpoint.Table, loads *load.Tracker, index *prefix.Index, outliers *outlier.Detector) *pick.Picker {
+func newPicker(cfg Config, table *endpoint.Table, loads *load.Tracker, index *prefix.Index, outliers *outlier.Detector, speeds *speed.Tracker) *pick.Picker {
+	settings := pick.Config{}
 	if cfg.Routed {
-		return pick.New(pick.DirectConfig(), table, loads, index, outliers)
+		settings = pick.DirectConfig()
 	}
-	return pick.New(pick.Config{}, table, loads, index, outliers)
+	settings.Speeds = speeds
+	return pick.New(settings, table, loads, index, outliers)
 }
 
 func newDirectClient() *direct.Client { return direct.NewClient(direct.Config{}) }
@@ -55,7 +58,7 @@
 // newRouted returns the server that answers requests by the routes of the published site.
 func newRouted(
 	cfg Config, table *endpoint.Table, loads *load.Tracker, outliers *outlier.Detector, picker *pick.Picker,
-	admissions *AdmissionController, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *PermitClient, suspects *suspicion.Tracker, logger *slog.Logger,
+	admissions *AdmissionController, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *PermitClient, suspects *suspicion.Tracker, speeds *speed.Tracker, logger *slog.Logger,
 ) *routed.Server {
 	policy := cfg.policy()
 	headers := cfg.Headers
@@ -70,7 +73,7 @@
 	}
 	dependencies := routed.Dependencies{
 		Admitter: admissions, Picker: picker, Endpoints: table, Loads: loads, Outliers: outliers,
-		Reach: reached, Groups: groups, Client: client, Quarantine: crashes, RateLimits: permits, Suspects: suspects, Budget: call.NewBudget(cfg.budget()), Logger: logger,
+		Reach: reached, Groups: groups, Client: client, Quarantine: crashes, RateLimits: permits, Suspects: suspects, Speeds: speeds, Budget: call.NewBudget(cfg.budget()), Logger: logger,
 	}
 	return routed.NewServer(settings, dependencies, func() time.Duration { return time.Since(processStart) })
 }
--- a/entry/report_handler.go
+++ b/entry/report_handler.go
@@ -101,6 +101,7 @@
 		PrefillRate:   l.GetPrefillRate(),
 		StepTime:      time.Duration(l.GetStepUs()) * time.Microsecond,
 		OwnStep:       time.Duration(l.GetOwnStepUs()) * time.Microsecond,
+		Slowdown:      l.GetSlowdown(),
 		Adapters:      l.GetAdapters().GetNames(),
 	}
 	if l.Adapters == nil {
--- a/entry/report_handler_test.go
+++ b/entry/report_handler_test.go
@@ -17,6 +17,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/quarantine"
 )
@@ -198,3 +199,21 @@
 	is.True(estimate.StepTime > 0 && estimate.PrefillRate > 0)
 	is.True(!f.Loads.ReportsOwnStep("rank-0"))
 }
+
+// TestReportedSlowdownIsTracked guards against a slowdown that is lost on its way from the report,
+// one that outlasts the engine that reported it, and one of an endpoint that is not in the table.
+func TestReportedSlowdownIsTracked(t *testing.T) {
+	is := is.New(t)
+	f, speeds := newReportFleet(2), speed.New()
+	f.reports.loads = load.New(load.Config{Speeds: speeds}, f.table)
+	received := time.Now()
+	now := received.Sub(processStart)
+	f.reports.HandleReport("agent", &agentv1.Report{Loads: []*agentv1.LoadReport{
+		{Endpoint: "rank-0", Slowdown: 2.26}, {Endpoint: "rank-1"}, {Endpoint: "stranger", Slowdown: 9},
+	}}, received)
+	is.Equal(speeds.Slowdown(now, "rank-0"), 2.26)
+	is.Equal(speeds.Slowdown(now, "rank-1"), 1.0)
+	is.Equal(speeds.Slowdown(now, "stranger"), 1.0)
+	f.reports.loads.Forget("rank-0")
+	is.Equal(speeds.Slowdown(now, "rank-0"), 1.0)
+}
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -8,6 +8,7 @@
 
 import (
 	"github.com/lilackeel/lilackeel/endpoint"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"log/slog"
 )
@@ -19,10 +20,11 @@
 	directory := NewDirectory()
 	admissionController := NewAdmissionController(cfg)
 	table := endpoint.NewTable()
-	tracker := newTracker(cfg, table)
+	tracker := speed.New()
+	loadTracker := newTracker(cfg, table, tracker)
 	index := newIndex()
 	detector := newDetector()
-	picker := newPicker(cfg, table, tracker, index, detector)
+	picker := newPicker(cfg, table, loadTracker, index, detector, tracker)
 	v, err := newDialOptions(cfg)
 	if err != nil {
 		return nil, err
@@ -35,12 +37,12 @@
 	quarantineTracker := quarantine.NewTracker()
 	rateLimits := NewRateLimits(cfg, table, admissionController, logger)
 	suspicionTracker := newSuspects(cfg)
-	reportSubscriber := NewReportSubscriber(cfg, pool, table, tracker, index, detector, lockstepTracker, client, quarantineTracker, rateLimits, suspicionTracker, logger)
+	reportSubscriber := NewReportSubscriber(cfg, pool, table, loadTracker, index, detector, lockstepTracker, client, quarantineTracker, rateLimits, suspicionTracker, logger)
 	dependencies := Dependencies{
 		Directory:  directory,
 		Admitter:   admissionController,
 		Picker:     picker,
-		Loads:      tracker,
+		Loads:      loadTracker,
 		Index:      index,
 		Outliers:   detector,
 		Agents:     agents,
@@ -54,7 +56,7 @@
 	reachTracker := newReach()
 	directClient := newDirectClient()
 	permitClient := NewPermitClient(rateLimits, reportSubscriber, pool)
-	routedServer := newRouted(cfg, table, tracker, detector, picker, admissionController, reachTracker, lockstepTracker, directClient, quarantineTracker, permitClient, suspicionTracker, logger)
+	routedServer := newRouted(cfg, table, loadTracker, detector, picker, admissionController, reachTracker, lockstepTracker, directClient, quarantineTracker, permitClient, suspicionTracker, tracker, logger)
 	entryRelay, err := newRelay(cfg, client, logger)
 	if err != nil {
 		return nil, err
@@ -64,7 +66,7 @@
 		table:     table,
 		admission: admissionController,
 		reports:   reportSubscriber,
-		loads:     tracker,
+		loads:     loadTracker,
 		index:     index,
 		outliers:  detector,
 		reach:     reachTracker,
--- a/routed/server.go
+++ b/routed/server.go
@@ -17,6 +17,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/reach"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/quarantine"
@@ -103,9 +104,11 @@
 	RateLimits RateLimits
 	// Suspects tracks endpoints that do not respond, based on the reports of all entries.
 	Suspects *suspicion.Tracker
-	Client   *direct.Client
-	Budget   *call.Budget
-	Logger   *slog.Logger
+	// Speeds provides the slowdowns of endpoints; nil if none are known.
+	Speeds *speed.Tracker
+	Client *direct.Client
+	Budget *call.Budget
+	Logger *slog.Logger
 }
 
 // Server serves requests. It implements http.Handler.
