endpoint/concurrency, routed: the limit of calls follows the slowdown of a group's slowest rank

Cause: the limiter counts the slowest gaps of the last 6 s. A group stayed limited for 6 s after a slow rank had recovered, and was limited only when the slow gaps had been observed.

Change: the limiter is told of the slowest slowdown of its lock-step group. A change by 0.1 or more separates the observations: a higher slowdown sets the limit at once, predicted from those under the nominal speed; a recovery that lasts 0.3 s restores these with their limit. Where no limit can meet the promised gap nothing is predicted. With nominal ranks the limits are unchanged.

--- a/endpoint/concurrency/concurrency.go
+++ b/endpoint/concurrency/concurrency.go
@@ -86,6 +86,7 @@
 	limit        float64
 	// openedAt is when the pool was last known to run no calls.
 	openedAt time.Duration
+	slowdown slowdownState
 }
 
 // gapWindow is a window that has ended.
@@ -127,8 +128,8 @@
 			remaining = append(remaining, w)
 			continue
 		}
-		if w.running >= 1 && w.start >= l.openedAt+fillTime {
-			l.addSlope((w.mean - fixedGap(w.mean, cfg)).Seconds() / w.running)
+		if w.running >= 1 && w.start >= l.openedAt+fillTime && !l.slowdown.settling(w.start) {
+			l.addSlope((w.mean - l.fixedGap(w.mean, cfg)).Seconds() / w.running)
 		}
 	}
 	l.pending = remaining
@@ -145,10 +146,18 @@
 	}
 }
 
-// maxSlope returns the slope that determines the limit.
+// maxSlope returns the slope that determines the limit; zero if it is not known.
 func (l *Limiter) maxSlope() float64 {
+	if slope := highestSlope(&l.slopes); slope > 0 {
+		return slope
+	}
+	return l.slowdown.predictedSlope
+}
+
+// highestSlope returns the slope of the slowest second of slopes.
+func highestSlope(slopes *[retentionSeconds][2]float64) float64 {
 	highest := 0.0
-	for _, slot := range l.slopes {
+	for _, slot := range slopes {
 		highest = max(highest, slot[1])
 	}
 	return highest
@@ -163,10 +172,15 @@
 	}
 }
 
-// fixedGap returns the part of a gap that does not grow with the number of calls.
-func fixedGap(gap time.Duration, cfg Config) time.Duration {
-	if cfg.FixedGap > 0 && cfg.FixedGap < gap {
-		return cfg.FixedGap
+// fixedGap returns the part of a gap that does not grow with the number of calls. The slowest rank
+// takes as many times longer for it as it does for the calls.
+func (l *Limiter) fixedGap(gap time.Duration, cfg Config) time.Duration {
+	fixed := cfg.FixedGap
+	if l.slowdown.value > nominalSlowdown {
+		fixed = time.Duration(l.slowdown.value * float64(fixed))
+	}
+	if fixed > 0 && fixed < gap {
+		return fixed
 	}
 	return time.Duration(defaultFixedRatio * float64(gap))
 }
@@ -176,6 +190,7 @@
 func (l *Limiter) Reset(now time.Duration, cfg Config) {
 	l.openedAt, l.pending = now, l.pending[:0]
 	l.slopes = [retentionSeconds][2]float64{}
+	l.slowdown.nominal, l.slowdown.predictedSlope = nil, 0
 	l.limit = float64(cfg.Slots)
 	if cfg.InitialLimit > 0 {
 		l.limit = min(cfg.InitialLimit, l.limit)
@@ -196,7 +211,6 @@
 // Update returns the number of calls that the pool may run, given the number running at
 // now.
 func (l *Limiter) Update(now time.Duration, cfg Config, running float64) float64 {
-	slots := float64(cfg.Slots)
 	if l.limit == 0 {
 		l.initialize(now, cfg, running)
 	}
@@ -204,12 +218,17 @@
 	if now < l.openedAt+fillTime {
 		return l.limit
 	}
+	l.limit += gain * (l.desired(cfg) - l.limit)
+	return l.limit
+}
+
+// desired returns the limit at which the slowest recent steps would reach their target.
+func (l *Limiter) desired(cfg Config) float64 {
+	slots := float64(cfg.Slots)
 	desired := slots
 	if slope := l.maxSlope(); slope > 0 && cfg.MaxGap > 0 {
 		target := time.Duration(targetRatio * float64(cfg.MaxGap))
-		desired = (target - fixedGap(target, cfg)).Seconds() / slope
+		desired = (target - l.fixedGap(target, cfg)).Seconds() / slope
 	}
-	desired = min(max(desired, minSlotRatio*slots), slots)
-	l.limit += gain * (desired - l.limit)
-	return l.limit
+	return min(max(desired, minSlotRatio*slots), slots)
 }
--- a/routed/capacity.go
+++ b/routed/capacity.go
@@ -12,6 +12,7 @@
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/endpoint/concurrency"
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/site"
 )
 
@@ -73,8 +74,9 @@
 	g.limiter.Observe(now, gap, g.config)
 }
 
-// update returns the limit of a group, and whether it has changed enough to be logged.
-func (t *groupLimits) update(name poolGroup, now time.Duration, cfg concurrency.Config, running float64, state lockstep.State) (limit float64, logLimit bool) {
+// update returns the limit of a group whose slowest rank has the given slowdown, and whether it has
+// changed enough to be logged.
+func (t *groupLimits) update(name poolGroup, now time.Duration, cfg concurrency.Config, running, slowdown float64, state lockstep.State) (limit float64, logLimit bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.group(name)
@@ -82,6 +84,7 @@
 	if state == lockstep.Closed {
 		g.limiter.Reset(now, cfg)
 	}
+	g.limiter.SetSlowdown(now, slowdown, cfg)
 	limit = g.limiter.Update(now, cfg, running)
 	return limit, g.shouldLog(now, limit)
 }
@@ -122,6 +125,8 @@
 	// openRunning is the number of calls that the other endpoints run.
 	paused, openSlots int
 	openRunning       float64
+	// slowdown is that of the slowest rank; zero is nominal.
+	slowdown float64
 	// reopensAt is when the first paused endpoint accepts requests again.
 	reopensAt time.Duration
 }
@@ -209,7 +214,7 @@
 	if !isUngrouped(name.group) {
 		state = s.Groups.State(now, name.group, cfg.MaxGap)
 	}
-	limit, logLimit := s.groupLimits.update(name, now, cfg, load.running, state)
+	limit, logLimit := s.groupLimits.update(name, now, cfg, load.running, load.slowdown, state)
 	if load.openSlots == 0 {
 		state = lockstep.Closed
 	}
@@ -311,5 +316,24 @@
 		load.addEndpoint(max(e.Slots, 1), s.Loads.Estimate(now, e.ID).Running, paused, restriction.BlockedUntil)
 		loads[name] = load
 	}
+	if s.Speeds.Any(now) {
+		s.addSlowdowns(now, view, loads)
+	}
 	return loads
 }
+
+// addSlowdowns sets the slowdown of the lock-step groups. Ranks that accept no requests count too,
+// since they run the steps of their group. Endpoints without a group do not slow each other.
+func (s *Server) addSlowdowns(now time.Duration, view *endpoint.View, loads map[poolGroup]groupLoad) {
+	for _, e := range view.All() {
+		slowdown := s.Speeds.Slowdown(now, e.ID)
+		if slowdown <= speed.Nominal {
+			continue
+		}
+		name := poolGroup{e.Pool, groupOf(s.Groups, e)}
+		if load, known := loads[name]; known && !isUngrouped(name.group) {
+			load.slowdown = max(load.slowdown, slowdown)
+			loads[name] = load
+		}
+	}
+}
