routed: metric and log lines of slow endpoints

Cause: nothing showed which endpoints an entry takes for slow.

Change: the gauge lilackeel_slow_endpoints{pool}, and a log line when an endpoint becomes slow or nominal again, at most one per second and endpoint.

Result: go test -run 'Speed|Slowdown' ./routed; a slowdown that alternates with each report for 5 s gives at most 5 lines.

--- a/routed/capacity.go
+++ b/routed/capacity.go
@@ -132,10 +132,11 @@
 }
 
 // UpdateCapacity recomputes the capacity of all pools; entries is the number of entries that
-// share them. It must be called every CapacityUpdateInterval.
+// share them. It must be called every CapacityUpdateInterval, by one goroutine.
 func (s *Server) UpdateCapacity(setter CapacitySetter, entries int) {
 	s.Budget.ShareAmong(entries)
 	s.Suspects.SetEntries(entries)
+	s.recordSpeeds(s.clock())
 	s.setCapacity(s.table.Load(), setter, entries)
 }
 
--- a/routed/server.go
+++ b/routed/server.go
@@ -119,6 +119,8 @@
 	metrics         *serverMetrics
 	// groupLimits limits the calls in flight in each group.
 	groupLimits *groupLimits
+	// slowEndpoints is used by UpdateCapacity only.
+	slowEndpoints slowEndpoints
 	// firstAttemptWait estimates how long callers wait in their first attempt.
 	firstAttemptWait waitEstimator
 	// firstChunkTimes estimates the time to the first chunk.
