routed: the expected time to the first chunk follows the slowdown of a pool

Cause: how long a request may queue depends on the mean time to the first chunk, which follows with a weight of 0.05 per request. After a rank had become slow, requests queued for too long and were late, and after its recovery requests were refused that could have been on time.

Change: after a change of the slowdown of a pool's fastest group the mean follows the next samples as a plain average, and on recovery the mean from before is used again. The other figures that decide on late requests and reroutes are observed gaps, which contain the slowdown already.

--- a/endpoint/concurrency/slowdown.go
+++ b/endpoint/concurrency/slowdown.go
@@ -51,6 +51,9 @@
 	return s.changedAt > 0 && start < s.changedAt+settleTime
 }
 
+// Slowdown returns the slowdown in effect.
+func (l *Limiter) Slowdown() float64 { return l.slowdown.effective() }
+
 // SetSlowdown sets the slowdown of the pool's slowest rank: the factor by which it works slower than
 // nominal. What was observed under another slowdown no longer counts. The limit for a higher one is
 // predicted from the observations under the nominal speed, and on recovery these are used again, with
--- a/routed/capacity.go
+++ b/routed/capacity.go
@@ -74,9 +74,9 @@
 	g.limiter.Observe(now, gap, g.config)
 }
 
-// update returns the limit of a group whose slowest rank has the given slowdown, and whether it has
-// changed enough to be logged.
-func (t *groupLimits) update(name poolGroup, now time.Duration, cfg concurrency.Config, running, slowdown float64, state lockstep.State) (limit float64, logLimit bool) {
+// update returns the limit of a group whose slowest rank has the given slowdown, the slowdown that is
+// in effect there, and whether the limit has changed enough to be logged.
+func (t *groupLimits) update(name poolGroup, now time.Duration, cfg concurrency.Config, running, slowdown float64, state lockstep.State) (limit, effectiveSlowdown float64, logLimit bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	g := t.group(name)
@@ -86,7 +86,7 @@
 	}
 	g.limiter.SetSlowdown(now, slowdown, cfg)
 	limit = g.limiter.Update(now, cfg, running)
-	return limit, g.shouldLog(now, limit)
+	return limit, g.limiter.Slowdown(), g.shouldLog(now, limit)
 }
 
 // retain discards the groups that no longer have endpoints.
@@ -180,6 +180,9 @@
 		}
 		next.pools[name.pool] = append(next.pools[name.pool], capacity)
 	}
+	for pool, capacities := range next.pools {
+		s.firstChunkTimes.setSlowdown(pool, lowestSlowdown(capacities))
+	}
 	return next
 }
 
@@ -215,11 +218,11 @@
 	if !isUngrouped(name.group) {
 		state = s.Groups.State(now, name.group, cfg.MaxGap)
 	}
-	limit, logLimit := s.groupLimits.update(name, now, cfg, load.running, load.slowdown, state)
+	limit, slowdown, logLimit := s.groupLimits.update(name, now, cfg, load.running, load.slowdown, state)
 	if load.openSlots == 0 {
 		state = lockstep.Closed
 	}
-	r := groupCapacity{group: name.group, state: state, limit: load.callLimit(limit, entries), ownCalls: load.ownCalls}
+	r := groupCapacity{group: name.group, state: state, limit: load.callLimit(limit, entries), ownCalls: load.ownCalls, slowdown: slowdown}
 	r.deferred = max(r.limit-load.ownCalls-load.maxGrowth(cfg.MaxGap, entries), 0)
 	if logLimit {
 		s.Logger.Info("limited the calls of a pool", slog.String("pool", name.pool), slog.String("group", strings.TrimPrefix(name.group, ungroupedPrefix)), slog.String("state", r.state.String()),
--- a/routed/firstchunk.go
+++ b/routed/firstchunk.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 )
 
 // firstChunkTimes estimates, for each pool, the time from sending a request to the first chunk
@@ -16,6 +18,51 @@
 type firstChunkTimes struct {
 	mu    sync.Mutex
 	means map[string]time.Duration
+	// slow contains the pools that work slower than nominal.
+	slow map[string]*slowFirstChunks
+}
+
+// slowFirstChunks is the state of a pool that works slower than nominal.
+type slowFirstChunks struct {
+	slowdown float64
+	// nominal is the mean from before the pool was slow; zero if it is unknown.
+	nominal time.Duration
+	// samples is the number of samples since the last change of the slowdown.
+	samples int
+}
+
+// setSlowdown sets the slowdown of a pool. The mean of a pool that becomes slow follows its next
+// samples quickly, as what was observed at another speed does not predict them; on recovery the mean
+// from before is used again.
+func (f *firstChunkTimes) setSlowdown(pool string, slowdown float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	state := f.slow[pool]
+	switch {
+	case slowdown <= speed.Nominal && state == nil:
+	case slowdown <= speed.Nominal:
+		delete(f.slow, pool)
+		if state.nominal > 0 {
+			f.means[pool] = state.nominal
+		}
+	case state == nil:
+		if f.slow == nil {
+			f.slow = map[string]*slowFirstChunks{}
+		}
+		f.slow[pool] = &slowFirstChunks{slowdown: slowdown, nominal: f.means[pool]}
+	case state.slowdown != slowdown:
+		state.slowdown, state.samples = slowdown, 0
+	}
+}
+
+// weight returns the weight of the next sample of a pool in its mean. The caller must hold the lock.
+func (f *firstChunkTimes) weight(pool string) float64 {
+	state := f.slow[pool]
+	if state == nil {
+		return firstChunkWeight
+	}
+	state.samples++
+	return max(firstChunkWeight, 1/float64(state.samples+1)) // the earlier mean counts as one sample
 }
 
 const (
@@ -39,7 +86,7 @@
 		}
 		mean = took
 	}
-	f.means[pool] = mean + time.Duration(firstChunkWeight*float64(took-mean))
+	f.means[pool] = mean + time.Duration(f.weight(pool)*float64(took-mean))
 }
 
 // mean returns the mean time to the first chunk; zero if it is unknown.
--- a/routed/placement.go
+++ b/routed/placement.go
@@ -1,11 +1,14 @@
 package routed
 
 import (
+	"cmp"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/endpoint/lockstep"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 )
 
 // ungroupedPrefix begins the group name for the endpoints of a pool that, as far as is known,
@@ -43,6 +46,8 @@
 	// limit is how many calls may be in flight, deferred is how many of these may start only
 	// after the next update, and ownCalls is how many are in flight.
 	limit, deferred, ownCalls int
+	// slowdown is that of the slowest rank.
+	slowdown float64
 }
 
 // PoolCapacity is the capacity of a pool that is available to an entry.
@@ -93,6 +98,14 @@
 	return capacity
 }
 
+// lowestSlowdown returns the slowdown of the fastest group, which gets the calls that can be on time.
+func lowestSlowdown(capacities []groupCapacity) float64 {
+	if len(capacities) == 0 {
+		return speed.Nominal
+	}
+	return slices.MinFunc(capacities, func(a, b groupCapacity) int { return cmp.Compare(a.slowdown, b.slowdown) }).slowdown
+}
+
 // bestState returns the best state of any group.
 func bestState(capacities []groupCapacity) lockstep.State {
 	state := lockstep.Closed
--- a/routed/slowdown_test.go
+++ b/routed/slowdown_test.go
@@ -34,7 +34,7 @@
 	b.table.Apply([]endpoint.Endpoint{leaving}, nil)
 	name := poolGroup{"pool", "g"}
 	is.Equal(s.groupLoads(now)[name].slowdown, 2.5)
-	s.computePlacement(now, s.table.Load(), 1)
+	is.Equal(lowestSlowdown(s.computePlacement(now, s.table.Load(), 1).pools["pool"]), 2.5)
 	is.Equal(s.groupLoads(now + 3*time.Second)[name].slowdown, 0.0) // the reports have expired
 }
 
