endpoint/pick: at most a third of the endpoints without slots is left out

Cause: endpoints that state no slots are never full, so that slow ones among them got no calls at all.

Change: in such a pool the preference for endpoints that are not slow ends above a third slow.

Result: go test -run ThirdOfEndpoints ./endpoint/pick; with 4 of 12 slow no call goes to them, with 5 of 12 the selection is as without slowdowns.

--- a/endpoint/pick/slowdown.go
+++ b/endpoint/pick/slowdown.go
@@ -27,6 +27,9 @@
 	// others have free slots. Beyond it, all entries would send their calls to the few others
 	// before the next load reports show that these are full.
 	maxSlowShare = 2.0 / 3
+	// maxSlowShareWithoutSlots is the same share for endpoints that state no slots. They are never
+	// full, so that the slow ones would get no calls at all.
+	maxSlowShareWithoutSlots = 1.0 / 3
 	// maxScanned is the number of endpoints that one selection examines to find one that is not
 	// slow and has a free slot. It covers the largest lock-step groups, and limits the cost of a
 	// selection in larger pools.
@@ -64,7 +67,7 @@
 		e, known := view.Get(id)
 		return known && e.Pool == q.Pool
 	})
-	if slow == 0 {
+	if slow == 0 || list[0].Slots <= 0 && float64(slow) > maxSlowShareWithoutSlots*float64(len(list)) {
 		return
 	}
 	preferFast := float64(slow) <= maxSlowShare*float64(len(list))
--- a/endpoint/pick/slowdown_test.go
+++ b/endpoint/pick/slowdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -17,8 +18,7 @@
 
 const groupSlots = 8
 
-// slowGroup is a picker for a lock-step group of direct endpoints with groupSlots slots each, of
-// which the first ones are slow.
+// slowGroup is a picker for a lock-step group of direct endpoints, of which the first ones are slow.
 type slowGroup struct {
 	picker *Picker
 	loads  *load.Tracker
@@ -26,13 +26,13 @@
 	ids    []string
 }
 
-func newSlowGroup(ranks, slow int, slowdown float64, speeds *speed.Tracker) *slowGroup {
+func newSlowGroup(ranks, slots, slow int, slowdown float64, speeds *speed.Tracker) *slowGroup {
 	g := &slowGroup{speeds: speeds}
 	table := endpoint.NewTable()
 	var all []endpoint.Endpoint
 	for i := range ranks {
 		g.ids = append(g.ids, fmt.Sprintf("rank-%02d", i))
-		all = append(all, endpoint.Endpoint{ID: g.ids[i], Addr: g.ids[i], Pool: "pool", State: endpoint.Serving, Slots: groupSlots, Zone: fmt.Sprint(i % 3), Revision: 1})
+		all = append(all, endpoint.Endpoint{ID: g.ids[i], Addr: g.ids[i], Pool: "pool", State: endpoint.Serving, Slots: slots, Zone: fmt.Sprint(i % 3), Revision: 1})
 		if i < slow {
 			speeds.Report(0, g.ids[i], slowdown)
 		}
@@ -69,7 +69,7 @@
 	}{{1, 1.6}, {1, 1.15}, {1, 64}, {25, 12}, {42, 2}} {
 		t.Run(fmt.Sprint(test), func(t *testing.T) {
 			is := is.New(t)
-			g := newSlowGroup(63, test.slow, test.slowdown, speed.New())
+			g := newSlowGroup(63, groupSlots, test.slow, test.slowdown, speed.New())
 			rng := rand.New(rand.NewPCG(1, 2))
 			counts := map[string]int{}
 			for _, id := range g.send(t, 0, rng, (63-test.slow)*groupSlots) {
@@ -95,7 +95,7 @@
 	is := is.New(t)
 	fast := 0
 	for seed := range uint64(200) { // the first call of each of 200 entries
-		g := newSlowGroup(63, 62, 1.2, speed.New())
+		g := newSlowGroup(63, groupSlots, 62, 1.2, speed.New())
 		if g.send(t, 0, rand.New(rand.NewPCG(seed, 1)), 1)[0] == g.ids[62] {
 			fast++
 		}
@@ -103,6 +103,17 @@
 	is.True(fast < 50)
 }
 
+// TestThirdOfEndpointsWithoutSlotsIsLeftOut guards against most calls going to few endpoints of a
+// pool whose endpoints are never full.
+func TestThirdOfEndpointsWithoutSlotsIsLeftOut(t *testing.T) {
+	is := is.New(t)
+	for slow, leftOut := range map[int]bool{4: true, 5: false} {
+		g := newSlowGroup(12, 0, slow, 4, speed.New())
+		chosen := g.send(t, 0, rand.New(rand.NewPCG(1, 1)), 200)
+		is.Equal(!slices.Contains(chosen, g.ids[0]), leftOut)
+	}
+}
+
 // TestNominalSlowdownsChangeNoSelection guards against any change of selections, random draws
 // included, where no slowdown is known: with no tracker, an empty one, one whose reports are nominal,
 // have expired, or are those of another pool.
@@ -110,7 +121,7 @@
 	is := is.New(t)
 	const now = 10 * time.Second
 	run := func(prepare func(*slowGroup), speeds *speed.Tracker) ([]string, uint64) {
-		g := newSlowGroup(63, 0, 0, speeds)
+		g := newSlowGroup(63, groupSlots, 0, 0, speeds)
 		prepare(g)
 		rng := rand.New(rand.NewPCG(3, 4))
 		chosen := g.send(t, now, rng, 63*groupSlots+100)
@@ -134,7 +145,7 @@
 func BenchmarkPickWithSlowRanks(b *testing.B) {
 	for _, slow := range []int{0, 1, 25} {
 		b.Run(fmt.Sprint(slow), func(b *testing.B) {
-			g := newSlowGroup(63, slow, 12, speed.New())
+			g := newSlowGroup(63, groupSlots, slow, 12, speed.New())
 			rng := rand.New(rand.NewPCG(1, 2))
 			for b.Loop() {
 				_, _, _ = g.picker.Pick(0, rng, &Request{Pool: "pool", PromptTokens: 850, MaxTokens: 90})
