endpoint/speed, routed, entry: plain services are judged by their response times

Cause: plain services report no slowdown, so that a slow one got as many calls as the others.

Only responses that are not streams, of endpoints outside lock-step groups, and only in pools with a cold start or with the new setting measure-speed.

--- a/endpoint/speed/speed.go
+++ b/endpoint/speed/speed.go
@@ -1,7 +1,8 @@
 // Package speed tracks how much slower than nominal each endpoint works, as seen by one entry.
 //
 // The slowdown of an endpoint is the factor by which its work takes longer than nominal: 1 is
-// nominal, 2 takes twice as long. Hosts report the slowdowns that their engines state.
+// nominal, 2 takes twice as long. Hosts report the slowdowns that their engines state. Endpoints that
+// report none, such as plain services, can be judged by their response times.
 //
 // Times are monotonic durations since an arbitrary start. A Tracker is safe for concurrent use; no
 // other lock is acquired while its lock is held.
@@ -35,6 +36,10 @@
 	mu sync.RWMutex
 	// reports contains the endpoints that are not nominal.
 	reports map[string]report
+	// reportedAt is when an endpoint last reported a valid slowdown.
+	reportedAt map[string]time.Duration
+	// pools contains the response times of endpoints, by pool.
+	pools map[string]*responsePool
 	// latest is the highest time, in nanoseconds, at which a report in reports was taken; minTime
 	// if there has been none. It makes the check for any slow endpoint cheap.
 	latest atomic.Int64
@@ -51,7 +56,7 @@
 
 // New returns an empty tracker.
 func New() *Tracker {
-	t := &Tracker{reports: map[string]report{}}
+	t := &Tracker{reports: map[string]report{}, reportedAt: map[string]time.Duration{}, pools: map[string]*responsePool{}}
 	t.latest.Store(minTime)
 	return t
 }
@@ -62,12 +67,25 @@
 	if t == nil {
 		return
 	}
-	slowdown = normalize(slowdown)
-	if slowdown == Nominal && !t.Any(now) {
+	valid := slowdown > 0 && !math.IsInf(slowdown, 1)
+	if !valid && !t.Any(now) {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if valid {
+		t.reportedAt[id] = now
+	} else {
+		if _, reports := t.reportedAt[id]; !reports {
+			return // the endpoint is judged by its response times, if at all
+		}
+		delete(t.reportedAt, id)
+	}
+	t.set(now, id, normalize(slowdown))
+}
+
+// set records a normalized slowdown. The caller must hold the lock.
+func (t *Tracker) set(now time.Duration, id string, slowdown float64) {
 	if slowdown == Nominal {
 		delete(t.reports, id)
 		return
@@ -122,6 +140,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.reports, id)
+	delete(t.reportedAt, id)
+	for _, p := range t.pools {
+		delete(p.endpoints, id)
+	}
 }
 
 func (r report) expired(now time.Duration) bool { return now-r.at > reportTTL }
--- a/routed/attempt.go
+++ b/routed/attempt.go
@@ -93,10 +93,20 @@
 	sample := outlier.Sample{Failed: isFailure}
 	if !isFailure {
 		sample.Latency = a.normalizedLatency(now)
+		a.recordResponseTime(now)
 	}
 	s.Outliers.Observe(now, a.target.Pool, a.target.ID, sample)
 }
 
+// recordResponseTime records the response time of an endpoint by which its speed is judged. Those of
+// lock-step engines show the speed of their group, and those of streams depend on their length.
+func (a *attempt) recordResponseTime(now time.Duration) {
+	if !isUngrouped(a.group) || a.request.route.GetKind() == fleetv1.CallKind_CALL_KIND_STREAM || !a.server.measuresSpeed(a.target.Pool) {
+		return
+	}
+	a.server.Speeds.Observe(now, a.target.Pool, a.target.ID, now-a.started)
+}
+
 // normalizedLatency returns the duration of an attempt divided by its size, which is
 // comparable between peers.
 func (a *attempt) normalizedLatency(now time.Duration) time.Duration {
--- a/routed/capacity.go
+++ b/routed/capacity.go
@@ -136,6 +136,7 @@
 func (s *Server) UpdateCapacity(setter CapacitySetter, entries int) {
 	s.Budget.ShareAmong(entries)
 	s.Suspects.SetEntries(entries)
+	s.Speeds.Evaluate(s.clock(), s.placement.Load().sizes)
 	s.recordSpeeds(s.clock())
 	s.setCapacity(s.table.Load(), setter, entries)
 }
--- a/routed/server.go
+++ b/routed/server.go
@@ -88,6 +88,9 @@
 	RetryAfter time.Duration
 	// AccessLog also logs requests that were answered.
 	AccessLog bool
+	// MeasureSpeed judges the endpoints of all pools that report no slowdown by their response
+	// times; otherwise only those of pools with a cold start are.
+	MeasureSpeed bool
 }
 
 // Dependencies are the dependencies of a Server.
--- a/routed/slowdown_test.go
+++ b/routed/slowdown_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"log/slog"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -10,8 +11,10 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 
+	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/endpoint/speed"
+	"github.com/lilackeel/lilackeel/site"
 )
 
 // TestSlowdownOfSlowestRankReachesItsGroup guards against a limiter that is not told of a slow rank,
@@ -69,3 +72,31 @@
 	s.recordSpeeds(now + time.Minute)
 	is.Equal(len(s.slowEndpoints.logged), 0)
 }
+
+// TestResponseTimesAreMeasuredWhereConfigured guards against judging endpoints where neither the
+// setting nor a cold start of their pool calls for it, and against not doing so where it does.
+func TestResponseTimesAreMeasuredWhereConfigured(t *testing.T) {
+	is := is.New(t)
+	slow := func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(20 * time.Millisecond)
+		answerOK(w, r)
+	}
+	countSlow := func(prepare func(s *Server, pool *fleetv1.Pool), path string) int {
+		b := newTestEntry(t, slow, answerOK, answerOK)
+		b.server.Speeds = speed.New()
+		config := testSite()
+		prepare(b.server, config.Pools[0])
+		b.server.Publish(site.NewTable(config))
+		for range 60 {
+			_, _, _ = post(t, b, path, nil)
+		}
+		now := b.server.clock()
+		b.server.Speeds.Evaluate(now, map[string]int{"pool": 3})
+		return b.server.Speeds.CountSlow(now, func(id string) bool { return id == "e1" })
+	}
+	withSetting := func(s *Server, _ *fleetv1.Pool) { s.config.MeasureSpeed = true }
+	is.Equal(countSlow(func(*Server, *fleetv1.Pool) {}, "/read/x"), 0)
+	is.Equal(countSlow(withSetting, "/read/x"), 1)
+	is.Equal(countSlow(func(_ *Server, pool *fleetv1.Pool) { pool.ColdRate = 2 }, "/read/x"), 1)
+	is.Equal(countSlow(withSetting, "/stream/x"), 0)
+}
--- a/routed/speeds.go
+++ b/routed/speeds.go
@@ -27,6 +27,12 @@
 	at   time.Duration
 }
 
+// measuresSpeed reports whether the endpoints of a pool that report no slowdown are judged by their
+// response times. Endpoints with a cold start differ in speed for some time after each start.
+func (s *Server) measuresSpeed(pool string) bool {
+	return s.config.MeasureSpeed || s.table.Load().Pool(pool).GetColdRate() > 0
+}
+
 // recordSpeeds updates the metric of slow endpoints, and logs which endpoints have become slow or
 // nominal.
 func (s *Server) recordSpeeds(now time.Duration) {
