--- a/endpoint/load/tracker.go
+++ b/endpoint/load/tracker.go
@@ -137,6 +137,18 @@
 	return 0
 }
 
+// Reported returns the number of calls at id according to its last report, not discounted by its age,
+// plus those that this entry has sent since.
+func (t *Tracker) Reported(id string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rec := t.records[id]
+	if rec == nil {
+		return 0
+	}
+	return max(rec.report.calls()+float64(len(rec.sent)), float64(rec.inFlight))
+}
+
 // Resident reports whether the adapter is resident in the memory of the engine
 // id, according to its last report. The empty adapter always is.
 func (t *Tracker) Resident(id, adapter string) bool {
--- a/endpoint/pick/direct_test.go
+++ b/endpoint/pick/direct_test.go
@@ -29,6 +29,8 @@
 	// largeShare is the share of the calls that each of the three large workspaces sends; small
 	// workspaces send the rest.
 	largeShare float64
+	// sample, if set, is called with the calls at each engine every 100 ms of the second half.
+	sample func(running map[string]int)
 }
 
 // inFlightCall is a call in flight, which ends at the time at.
@@ -97,6 +99,9 @@
 		}
 		if now > 3*time.Second && now%(100*time.Millisecond) == 0 {
 			samples++
+			if p.sample != nil {
+				p.sample(running)
+			}
 			most := 0
 			for _, n := range running {
 				most = max(most, n)
