Merge the speed of endpoints at the entries

Slow ranks get new calls only when the others are full, and the limit of calls in flight follows the slowdown and returns with the recovery.

--- a/endpoint/load/tracker.go
+++ b/endpoint/load/tracker.go
@@ -62,6 +62,7 @@
 	}
 	rec.applyReport(now, taken, r)
 	rec.invalidateGroup()
+	t.config.Speeds.Report(taken, id, r.Slowdown)
 }
 
 // Sent records that this entry dispatches a call of the given size to id. The
@@ -136,6 +137,18 @@
 	return 0
 }
 
+// Reported returns the number of calls at id according to its last report, not discounted by its age,
+// plus those that this entry has sent since.
+func (t *Tracker) Reported(id string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rec := t.records[id]
+	if rec == nil {
+		return 0
+	}
+	return max(rec.report.calls()+float64(len(rec.sent)), float64(rec.inFlight))
+}
+
 // Resident reports whether the adapter is resident in the memory of the engine
 // id, according to its last report. The empty adapter always is.
 func (t *Tracker) Resident(id, adapter string) bool {
@@ -166,6 +179,7 @@
 		t.unbind(rec)
 		delete(t.records, id)
 	}
+	t.config.Speeds.Forget(id)
 }
 
 // record returns the record of the endpoint, creating it if necessary.
--- a/routed/server.go
+++ b/routed/server.go
@@ -17,6 +17,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/endpoint/reach"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/quarantine"
@@ -87,6 +88,9 @@
 	RetryAfter time.Duration
 	// AccessLog also logs requests that were answered.
 	AccessLog bool
+	// MeasureSpeed judges the endpoints of all pools that report no slowdown by their response
+	// times; otherwise only those of pools with a cold start are.
+	MeasureSpeed bool
 }
 
 // Dependencies are the dependencies of a Server.
@@ -103,9 +107,11 @@
 	RateLimits RateLimits
 	// Suspects tracks endpoints that do not respond, based on the reports of all entries.
 	Suspects *suspicion.Tracker
-	Client   *direct.Client
-	Budget   *call.Budget
-	Logger   *slog.Logger
+	// Speeds provides the slowdowns of endpoints; nil if none are known.
+	Speeds *speed.Tracker
+	Client *direct.Client
+	Budget *call.Budget
+	Logger *slog.Logger
 }
 
 // Server serves requests. It implements http.Handler.
@@ -116,6 +122,8 @@
 	metrics         *serverMetrics
 	// groupLimits limits the calls in flight in each group.
 	groupLimits *groupLimits
+	// slowEndpoints is used by UpdateCapacity only.
+	slowEndpoints slowEndpoints
 	// firstAttemptWait estimates how long callers wait in their first attempt.
 	firstAttemptWait waitEstimator
 	// firstChunkTimes estimates the time to the first chunk.
