--- a/rankhost/slowdown.go
+++ b/rankhost/slowdown.go
@@ -22,8 +22,9 @@
 	// more likely a fault of the report than the speed of an engine.
 	minSlowdown = 0.25
 	maxSlowdown = 64
-	// nominalTolerance is the relative difference from 1 up to which an engine counts as nominal.
-	nominalTolerance = 0.1
+	// minNominal and maxNominal bound the slowdowns at which an engine counts as nominal.
+	minNominal = 0.9
+	maxNominal = 1.1
 )
 
 // reportedSlowdown returns the slowdown to report for a status under a mode, or zero if none is
@@ -43,7 +44,7 @@
 
 // isNominal reports whether an engine with a slowdown counts as nominal.
 func isNominal(slowdown float64) bool {
-	return slowdown == 0 || math.Abs(slowdown-1) <= nominalTolerance
+	return slowdown == 0 || slowdown >= minNominal && slowdown <= maxNominal
 }
 
 // addSlowdown adds the rank's slowdown to its loads. The caller must hold the lock.
