endpoint/concurrency, routed: the limit of a slow group follows its new map, not the old one

Callers of a group with one rank 2.26 times slower saw its limit stay at the least for six seconds, since the steps of the first half second, before the map had moved the experts off the slow rank, counted as long as others. A group that opened with a slow rank was filled to its last slot, as nothing had been observed.

Nothing is learned for 0.7 s after an increase of the slowdown, and the initial limit includes the fixed time of the slowest rank.

--- a/endpoint/concurrency/concurrency.go
+++ b/endpoint/concurrency/concurrency.go
@@ -226,7 +226,13 @@
 func (l *Limiter) desired(cfg Config) float64 {
 	slots := float64(cfg.Slots)
 	desired := slots
-	if slope := l.maxSlope(); slope > 0 && cfg.MaxGap > 0 {
+	slope := l.maxSlope()
+	if slope == 0 && l.slowdown.effective() > nominalSlowdown && cfg.InitialLimit > 0 {
+		// Without any observation, the limit for the time in which the pool fills up is the best
+		// estimate.
+		desired = cfg.InitialLimit
+	}
+	if slope > 0 && cfg.MaxGap > 0 {
 		target := time.Duration(targetRatio * float64(cfg.MaxGap))
 		desired = (target - l.fixedGap(target, cfg)).Seconds() / slope
 	}
--- a/endpoint/concurrency/slowdown.go
+++ b/endpoint/concurrency/slowdown.go
@@ -17,6 +17,10 @@
 	// settleTime is how long after a change of the slowdown gaps may contain steps from before it:
 	// about one long gap.
 	settleTime = 200 * time.Millisecond
+	// remapTime is how long after an increase of the slowdown the group may still run with a map
+	// that gives the slow rank its full load: the map is switched once or twice soon after the increase.
+	// Steps from before them do not predict later ones.
+	remapTime = 700 * time.Millisecond
 )
 
 // slowdownState is the slowdown of a pool's slowest rank, and what was learned before it was slow.
@@ -26,8 +30,8 @@
 	// lowest is the highest slowdown reported since heldAt, when value was last confirmed.
 	lowest float64
 	heldAt time.Duration
-	// changedAt is when value last changed from or to another than nominal.
-	changedAt time.Duration
+	// settledAt is when steps no longer contain work from before the last change of value.
+	settledAt time.Duration
 	// nominal contains the observations from before the pool became slow; nil if there are none.
 	nominal *observations
 	// predictedSlope replaces the slope until gaps have been observed under the slowdown; zero if
@@ -45,11 +49,9 @@
 // effective returns the slowdown in effect.
 func (s *slowdownState) effective() float64 { return max(s.value, nominalSlowdown) }
 
-// settling reports whether a window that began at start contains gaps from before the last change
-// of the slowdown.
-func (s *slowdownState) settling(start time.Duration) bool {
-	return s.changedAt > 0 && start < s.changedAt+settleTime
-}
+// settling reports whether a window that began at start does not predict later ones because the
+// slowdown had just changed.
+func (s *slowdownState) settling(start time.Duration) bool { return start < s.settledAt }
 
 // Slowdown returns the slowdown in effect.
 func (l *Limiter) Slowdown() float64 { return l.slowdown.effective() }
@@ -86,7 +88,8 @@
 		l.expireSlopes(now)
 		s.nominal = &observations{slopes: l.slopes, latestSecond: l.latestSecond, limit: l.limit}
 	}
-	s.value, s.changedAt, s.predictedSlope = slowdown, now, 0
+	increased := slowdown > s.effective()
+	s.value, s.settledAt, s.predictedSlope = slowdown, now+settleTime, 0
 	l.pending, l.sum, l.count, l.windowStart = l.pending[:0], 0, 0, now
 	l.slopes = [retentionSeconds][2]float64{}
 	switch {
@@ -99,6 +102,9 @@
 		if s.predictedSlope > 0 {
 			l.limit = l.desired(cfg)
 		}
+		if s.predictedSlope > 0 && increased {
+			s.settledAt = now + remapTime
+		}
 	}
 	// Otherwise no limit keeps the gaps below MaxGap, and the observed gaps decide, if they are not
 	// too long to count.
--- a/endpoint/concurrency/slowdown_test.go
+++ b/endpoint/concurrency/slowdown_test.go
@@ -109,3 +109,48 @@
 	}
 	is.True(limits[156] >= 0.95*limits[100])
 }
+
+// TestLimitRisesOnceTheMapFitsTheSlowdown guards against a limit that the steps with the old map keep
+// low for six seconds, although the new map is in force 0.6 s after the slowdown.
+func TestLimitRisesOnceTheMapFitsTheSlowdown(t *testing.T) {
+	is := is.New(t)
+	var l Limiter
+	const slowAt, remappedAt = 10 * time.Second, 10600 * time.Millisecond
+	running, nextGap := 320.0, time.Duration(0)
+	for now := time.Duration(0); now < 14*time.Second; now += 10 * time.Millisecond {
+		if now >= nextGap {
+			p := slowPool
+			switch {
+			case now >= remappedAt:
+				p.fixed *= 2.26 // the calls and experts of the slow rank have moved
+			case now >= slowAt:
+				p.fixed, p.perCall = 2.26*p.fixed, 2.26*p.perCall
+			}
+			gap := p.gap(running)
+			l.Observe(now, gap, slowConfig)
+			nextGap = now + gap
+		}
+		if now%(100*time.Millisecond) != 0 {
+			continue
+		}
+		l.SetSlowdown(now, during(slowAt, 20*time.Second, 2.26, reportLag)(now), slowConfig)
+		limit := l.Update(now, slowConfig, running)
+		running += 0.3 * (limit - running)
+	}
+	best := (targetRatio*float64(slowConfig.MaxGap.Milliseconds()) - 2.26*slowPool.fixed) / slowPool.perCall * 16
+	t.Logf("limit %.0f, the map allows %.0f", l.limit, best)
+	is.True(l.limit >= 0.9*min(best, float64(slowConfig.Slots)))
+}
+
+// TestSlowGroupThatOpensKeepsItsInitialLimit guards against a group that opens with a slow rank and
+// is filled to its last slot because nothing has been observed yet.
+func TestSlowGroupThatOpensKeepsItsInitialLimit(t *testing.T) {
+	is := is.New(t)
+	cfg := slowConfig
+	cfg.InitialLimit = 160
+	var l Limiter
+	for now := time.Duration(0); now < 2*time.Second; now += 100 * time.Millisecond {
+		l.SetSlowdown(now, 2.26, cfg)
+		is.True(l.Update(now, cfg, 0) <= cfg.InitialLimit)
+	}
+}
--- a/routed/capacity.go
+++ b/routed/capacity.go
@@ -174,7 +174,7 @@
 			continue
 		}
 		cfg := concurrency.Config{MaxGap: gaps[name.pool], Slots: load.slots, FixedGap: fixedGap(engine)}
-		cfg.InitialLimit = initialLimit(engine, cfg, load.engines)
+		cfg.InitialLimit = initialLimit(engine, cfg, load.engines, load.slowdown)
 		capacity := s.groupCapacity(now, name, cfg, load, entries)
 		if recent && isUngrouped(name.group) && engine.GetSets() > 0 {
 			capacity.state = lockstep.Closed
--- a/routed/rampup.go
+++ b/routed/rampup.go
@@ -6,6 +6,7 @@
 
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/endpoint/concurrency"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 )
 
 const (
@@ -18,15 +19,17 @@
 
 // initialLimit returns how many calls a group may run while it ramps up, based on the engine
 // model. With that many calls, steps meet the promised gap under the first expert map while
-// every engine prefills at its maximum rate. Zero means that the engine model lacks the data.
-func initialLimit(engine *fleetv1.EngineModel, cfg concurrency.Config, engines int) float64 {
+// every engine prefills at its maximum rate. A rank that works slower than nominal by slowdown takes
+// that much longer for the fixed time of a step, for which all others wait; its calls and experts
+// are moved elsewhere. Zero means that the engine model lacks the data.
+func initialLimit(engine *fleetv1.EngineModel, cfg concurrency.Config, engines int, slowdown float64) float64 {
 	stride := float64(max(engine.GetStride(), 1))
 	perCall := engine.GetPerRequestMs() * stride * (1 - engine.GetExpertShare() + engine.GetExpertShare()*initialSkew)
 	if cfg.MaxGap <= 0 || perCall <= 0 || engine.GetSets() == 0 || engine.GetPrefillRate() <= 0 {
 		return 0
 	}
 	prompts := float64(engine.GetChunk()) * stride / engine.GetPrefillRate() * 1000
-	available := initialGapShare*float64(cfg.MaxGap.Milliseconds()) - engine.GetStepMs()*stride - prompts
+	available := initialGapShare*float64(cfg.MaxGap.Milliseconds()) - engine.GetStepMs()*stride*max(slowdown, speed.Nominal) - prompts
 	return max(available/perCall, 1) * float64(engines)
 }
 
