--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -32,6 +32,9 @@
 	// thus the cost of many readers: 16 entries get one report every 100 ms each, 36 entries one
 	// every 225 ms each.
 	maxReportsPerSecond = 160
+	// slowdownRenewal is the interval at which the load of a slow engine is sent even if it has not
+	// changed: readers forget a slowdown after 2 s, and a slow engine may run no calls at all.
+	slowdownRenewal = 500 * time.Millisecond
 )
 
 // Daemon is the host process of one rank.
@@ -174,19 +177,20 @@
 	defer s.readers.Add(-1)
 	reader := s.shared.NewReader(r)
 	var sent *agentv1.Report
+	var sentAt time.Time
 	for {
 		changed := s.host.Changed()
 		status, readAt, ok := s.host.Status()
 		report := s.buildReport(status)
-		loadChanged := ok && !proto.Equal(report, sent)
-		if loadChanged {
-			sent = proto.Clone(report).(*agentv1.Report)
+		loadDue := ok && (!proto.Equal(report, sent) || renewsSlowdown(report, time.Since(sentAt)))
+		if loadDue {
+			sent, sentAt = proto.Clone(report).(*agentv1.Report), time.Now()
 			report.GetLoads()[0].AgeMs = time.Since(readAt).Milliseconds()
 		} else {
 			// Shared state is sent even while there is no new status of the engine.
 			report = &agentv1.Report{}
 		}
-		if hasShared := reader.Fill(report); loadChanged || hasShared {
+		if hasShared := reader.Fill(report); loadDue || hasShared {
 			if err := stream.Send(report); err != nil {
 				return err
 			}
@@ -204,6 +208,12 @@
 	}
 }
 
+// renewsSlowdown reports whether an unchanged report must be sent again because the slowdown in it
+// was last sent a while ago.
+func renewsSlowdown(report *agentv1.Report, since time.Duration) bool {
+	return since >= slowdownRenewal && !isNominal(report.GetLoads()[0].GetSlowdown())
+}
+
 // reportInterval returns the interval between reports to one reader, given the number of readers.
 func reportInterval(requested time.Duration, readers int) time.Duration {
 	if requested <= 0 {
