workspace, site, entry: requests are ordered by level over all workspaces

A priority ordered the requests of one workspace at one entry and nothing else, so that a burst of one workspace's lowest-priority requests delayed the highest-priority requests of the others.

site.Level combines the priorities of workspace and route. In pools whose routes have different priorities, Admission starts requests by level, lets a higher-priority one displace one of the lowest-priority level from a full queue, and late requests get room by level. A late request goes before queued on-time requests of lower-priority levels. Reserved slots are lent there without regard to ReclaimWithin: holding them back would delay requests of higher-priority levels. Other pools have all requests at level 0 and take the same path as before.

Tests of the late queue get the new argument for the level, without other changes.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -36,6 +36,8 @@
 	mu     sync.Mutex
 	gates  map[string]*workspace.Gate
 	limits map[string]workspace.Limits
+	// leveled holds the pools whose requests are ordered by level.
+	leveled map[string]bool
 }
 
 // NewAdmissionController returns the admission controller of one entry of the fleet.
@@ -63,24 +65,27 @@
 	refusal := fault.New(fault.Overloaded, "not run: no capacity was left for a request that is already late",
 		"retry after the given time").RetryIn(a.policy.MaxRetryAfter)
 	gate := a.gate(pool)
-	if !a.lateQueues.enqueue(pool, time.Since(processStart), maxWait, occupancyOf(gate)) {
+	level := a.levelOf(pool, &r)
+	if !a.lateQueues.enqueue(pool, level, time.Since(processStart), maxWait, occupancyOf(gate, level)) {
 		return nil, refusal
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	for {
-		if release, ok := a.acquireLateSlot(pool); ok {
-			a.lateQueues.dequeue(pool, time.Since(processStart), true)
+		if release, ok := a.acquireLateSlot(pool, level); ok {
+			a.lateQueues.dequeue(pool, level, time.Since(processStart), true)
 			return release, nil
 		}
-		if a.lateQueues.acquireShared(pool, time.Since(processStart), occupancyOf(gate)) {
+		if load := occupancyOf(gate, level); a.lateQueues.acquireShared(pool, level, time.Since(processStart), load) {
 			release, err := a.acquireSharedSlot(ctx, pool, r)
-			a.lateQueues.dequeue(pool, time.Since(processStart), err == nil)
-			return release, err
+			if err == nil || load.lowerQueued == 0 || !fault.Is(err, fault.Overloaded) {
+				a.lateQueues.dequeue(pool, level, time.Since(processStart), err == nil)
+				return release, err
+			}
 		}
 		wait.For(ctx, latePollInterval)
 		if ctx.Err() != nil {
-			a.lateQueues.dequeue(pool, time.Since(processStart), false)
+			a.lateQueues.dequeue(pool, level, time.Since(processStart), false)
 			return nil, refusal
 		}
 	}
@@ -92,6 +97,28 @@
 	a.gate(pool).SetCapacity(r.OnTime + max(r.OtherInFlight-lateHeld, 0))
 }
 
+// SetLevels sets the pools whose requests are ordered by level over all workspaces. In the others,
+// levels have no effect.
+func (a *AdmissionController) SetLevels(leveled map[string]bool) {
+	a.mu.Lock()
+	a.leveled = leveled
+	gates := maps.Clone(a.gates)
+	a.mu.Unlock()
+	for pool, gate := range gates {
+		gate.SetLevels(leveled[pool])
+	}
+}
+
+// levelOf returns the level by which a request is ordered in a pool.
+func (a *AdmissionController) levelOf(pool string, r *workspace.Request) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leveled[pool] {
+		return r.Level
+	}
+	return 0
+}
+
 // MeanHoldTime implements HoldTimes.
 func (a *AdmissionController) MeanHoldTime(pool string) time.Duration {
 	return a.gate(pool).MeanHoldTime()
@@ -99,8 +126,8 @@
 
 // acquireLateSlot takes a slot of a lock-step group that is behind its step rate, if one is free.
 // It returns the function that releases the slot.
-func (a *AdmissionController) acquireLateSlot(pool string) (func(), bool) {
-	if !a.lateQueues.acquireLate(pool, time.Since(processStart)) {
+func (a *AdmissionController) acquireLateSlot(pool string, level int) (func(), bool) {
+	if !a.lateQueues.acquireLate(pool, level, time.Since(processStart)) {
 		return nil, false
 	}
 	return sync.OnceFunc(func() { a.lateQueues.releaseLate(pool, time.Since(processStart)) }), true
@@ -123,7 +150,7 @@
 
 // AdmitOnTime implements routed.Admitter.
 func (a *AdmissionController) AdmitOnTime(ctx context.Context, pool string, r workspace.Request) (func(), error) {
-	a.lateQueues.countOnTime(pool, time.Since(processStart))
+	a.lateQueues.countOnTime(pool, a.levelOf(pool, &r), time.Since(processStart))
 	return a.acquire(ctx, pool, r)
 }
 
@@ -142,7 +169,9 @@
 	defer a.mu.Unlock()
 	gate, ok := a.gates[pool]
 	if !ok {
-		gate = workspace.NewGate(workspace.NewAdmission(a.policy), func() time.Duration { return time.Since(processStart) })
+		policy := a.policy
+		policy.Levels = a.leveled[pool]
+		gate = workspace.NewGate(workspace.NewAdmission(policy), func() time.Duration { return time.Since(processStart) })
 		gate.Configure(maps.Clone(a.limits))
 		a.gates[pool] = gate
 	}
--- a/entry/configure.go
+++ b/entry/configure.go
@@ -69,6 +69,7 @@
 
 // publishSite applies a site, whose endpoints must be in the table already.
 func (c *configurer) publishSite(table *site.Table) {
+	c.admission.SetLevels(table.LeveledPools())
 	if c.routed.Published() {
 		c.routed.Publish(table)
 		return
--- a/entry/late_startup_test.go
+++ b/entry/late_startup_test.go
@@ -52,7 +52,7 @@
 	c.apply(context.Background(), (&feed.View{}).Apply(delta), delta)
 	is.True(server.Published())
 	waiting := 0
-	for waiting < 1000 && admissions.lateQueues.enqueue("pool", time.Second, time.Second, occupancyOf(admissions.gate("pool"))) {
+	for waiting < 1000 && admissions.lateQueues.enqueue("pool", 0, time.Second, time.Second, occupancyOf(admissions.gate("pool"), 0)) {
 		waiting++
 	}
 	is.Equal(waiting, 640)
--- a/entry/late_test.go
+++ b/entry/late_test.go
@@ -18,21 +18,21 @@
 	is := is.New(t)
 	var l lateQueues
 	admitted := 0
-	for l.enqueue("p", 0, time.Second, saturatedPool) {
+	for l.enqueue("p", 0, 0, time.Second, saturatedPool) {
 		admitted++
 	}
 	is.Equal(admitted, minLateWaiting) // no rate is known yet
 	for now := time.Duration(0); now < 10*time.Second; now += 100 * time.Millisecond {
-		l.dequeue("p", now, true) // ten per second get a slot
-		is.True(l.enqueue("p", now, time.Second, saturatedPool))
+		l.dequeue("p", 0, now, true) // ten per second get a slot
+		is.True(l.enqueue("p", 0, now, time.Second, saturatedPool))
 	}
 	more := 0
-	for l.enqueue("p", 10*time.Second, time.Second, saturatedPool) {
+	for l.enqueue("p", 0, 10*time.Second, time.Second, saturatedPool) {
 		more++
 	}
 	is.True(minLateWaiting+more >= 8 && minLateWaiting+more <= 12)
-	is.True(!l.enqueue("p", 30*time.Second, time.Second, saturatedPool)) // the rate has decayed, all are still waiting
-	is.True(l.enqueue("q", 30*time.Second, time.Second, saturatedPool))
+	is.True(!l.enqueue("p", 0, 30*time.Second, time.Second, saturatedPool)) // the rate has decayed, all are still waiting
+	is.True(l.enqueue("q", 0, 30*time.Second, time.Second, saturatedPool))
 }
 
 // TestLateRequestsWaitForReopeningPool simulates a pool whose groups are forming: no request has been
@@ -42,26 +42,26 @@
 	var l lateQueues
 	l.setCapacity("p", 0, routed.PoolCapacity{AfterReopen: 50})
 	waiting := 0
-	for l.enqueue("p", 0, time.Second, saturatedPool) {
+	for l.enqueue("p", 0, 0, time.Second, saturatedPool) {
 		waiting++
 	}
 	is.Equal(waiting, 50)
 	l.setCapacity("p", time.Second, routed.PoolCapacity{}) // the pool runs
-	is.True(!l.enqueue("p", time.Second, time.Second, saturatedPool))
+	is.True(!l.enqueue("p", 0, time.Second, time.Second, saturatedPool))
 	for range waiting {
-		l.dequeue("p", time.Second, true)
+		l.dequeue("p", 0, time.Second, true)
 	}
-	is.True(l.enqueue("p", time.Second, time.Second, saturatedPool))
+	is.True(l.enqueue("p", 0, time.Second, time.Second, saturatedPool))
 }
 
 func TestLateSlotsAreCounted(t *testing.T) {
 	is := is.New(t)
 	var l lateQueues
-	is.True(!l.acquireLate("p", 0)) // no capacity is known
+	is.True(!l.acquireLate("p", 0, 0)) // no capacity is known
 	is.Equal(l.setCapacity("p", 0, routed.PoolCapacity{LateSlots: 2}), 0)
-	is.True(l.acquireLate("p", 0))
-	is.True(l.acquireLate("p", 0))
-	is.True(!l.acquireLate("p", 0))
+	is.True(l.acquireLate("p", 0, 0))
+	is.True(l.acquireLate("p", 0, 0))
+	is.True(!l.acquireLate("p", 0, 0))
 	is.Equal(l.setCapacity("p", 0, routed.PoolCapacity{}), 2) // held slots remain held
 	l.releaseLate("p", 0)
 	is.Equal(l.setCapacity("p", 0, routed.PoolCapacity{}), 1)
@@ -87,7 +87,7 @@
 			l.releaseShared("p", now)
 		}
 		if now%(66*time.Millisecond) < tick {
-			l.countOnTime("p", now)
+			l.countOnTime("p", 0, now)
 			waiting = append(waiting, now)
 		}
 		for len(waiting) > 0 && len(onTime)+len(late) < slots {
@@ -97,8 +97,8 @@
 		if now == 5*time.Second {
 			lateArrivals = 60
 		}
-		load := occupancy{workspace.Load{Slots: slots, InFlight: len(onTime) + len(late), Queued: len(waiting)}, holdTime}
-		for lateArrivals > 0 && l.acquireShared("p", now, load) {
+		load := occupancy{Load: workspace.Load{Slots: slots, InFlight: len(onTime) + len(late), Queued: len(waiting)}, holdTime: holdTime}
+		for lateArrivals > 0 && l.acquireShared("p", 0, now, load) {
 			lateArrivals, load.InFlight, lastAdmitted = lateArrivals-1, load.InFlight+1, now
 			late = append(late, now+holdTime)
 		}
@@ -113,9 +113,9 @@
 func TestLateRequestsWaitForExpectedSlots(t *testing.T) {
 	is := is.New(t)
 	var l lateQueues
-	load := occupancy{workspace.Load{Slots: 25, InFlight: 5}, time.Second}
+	load := occupancy{Load: workspace.Load{Slots: 25, InFlight: 5}, holdTime: time.Second}
 	waiting := 0
-	for waiting < 1000 && l.enqueue("p", time.Minute, time.Second, load) {
+	for waiting < 1000 && l.enqueue("p", 0, time.Minute, time.Second, load) {
 		waiting++
 	}
 	is.True(waiting >= 40 && waiting <= 50) // twenty immediately, and 25 within the second
--- a/routed/request.go
+++ b/routed/request.go
@@ -29,6 +29,8 @@
 	workspace *fleetv1.Workspace
 	pool      string
 	priority  int
+	// level is the priority over the requests of all workspaces, 0 first.
+	level int
 	// target is the path and query as they stood in the request line.
 	method, target, host string
 	header               http.Header
@@ -72,6 +74,7 @@
 	s.recordWait(q)
 	q.pool = site.PickPool(q.route, xxhash.Sum64String(q.id))
 	q.priority = site.Priority(q.route, q.workspace)
+	q.level = site.Level(q.route, q.workspace)
 	if s.config.Headers.Size != nil {
 		q.work.PromptTokens, q.work.MaxTokens = s.config.Headers.Size(r.Header)
 	}
--- a/site/site.go
+++ b/site/site.go
@@ -135,6 +135,49 @@
 	return int(route.GetPriority())
 }
 
+// MaxLevel is the highest level, that of the requests that go last.
+const MaxLevel = levelsPerPriority*maxPriority + maxPriority
+
+const (
+	// maxPriority is the greatest priority that levels distinguish; greater ones count as equal.
+	maxPriority = 9
+	// levelsPerPriority is the number of levels of each priority of workspaces.
+	levelsPerPriority = maxPriority + 1
+)
+
+// Level returns the priority of a request over the requests of all workspaces, 0 first and at most
+// MaxLevel. It orders by the priority of the workspace, and within that by the priority of the route.
+// Without a priority of the workspace, that of the route stands for both.
+func Level(route *fleetv1.Route, workspace *fleetv1.Workspace) int {
+	byRoute := clampPriority(route.GetPriority())
+	byWorkspace := byRoute
+	if workspace != nil && workspace.Priority != nil {
+		byWorkspace = clampPriority(workspace.GetPriority())
+	}
+	return levelsPerPriority*byWorkspace + byRoute
+}
+
+func clampPriority(priority int32) int { return int(min(max(priority, 0), maxPriority)) }
+
+// LeveledPools returns the pools whose requests are ordered by level: those that serve routes of
+// different priorities.
+func (t *Table) LeveledPools() map[string]bool {
+	leveled, first := map[string]bool{}, map[string]int{}
+	for _, route := range t.Routes() {
+		priority := clampPriority(route.GetPriority())
+		for _, split := range route.GetSplits() {
+			if split.GetWeight() <= 0 {
+				continue
+			}
+			if other, seen := first[split.GetPool()]; seen && other != priority {
+				leveled[split.GetPool()] = true
+			}
+			first[split.GetPool()] = priority
+		}
+	}
+	return leveled
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func Repeatable(route *fleetv1.Route) bool {
 	switch route.GetKind() {
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -58,3 +58,37 @@
 	is.True(!Repeatable(&fleetv1.Route{Kind: fleetv1.CallKind_CALL_KIND_STREAM}))
 	is.True(Repeatable(&fleetv1.Route{Kind: fleetv1.CallKind_CALL_KIND_STREAM, Resumable: true}))
 }
+
+// Guards against an order that puts the route before the workspace, and against values out of range
+// that change places with others.
+func TestLevelOrdersByWorkspaceThenRoute(t *testing.T) {
+	is := is.New(t)
+	level := func(route int32, workspace ...int32) int {
+		w := &fleetv1.Workspace{}
+		if len(workspace) > 0 {
+			w.Priority = &workspace[0]
+		}
+		return Level(&fleetv1.Route{Priority: route}, w)
+	}
+	is.Equal(level(0, 0), 0)
+	is.True(level(9, 0) < level(0, 1))
+	is.True(level(1, 3) < level(2, 3))
+	is.Equal(level(2), level(2, 2)) // without a priority of the workspace
+	is.Equal(Level(&fleetv1.Route{Priority: 2}, nil), level(2))
+	is.Equal(level(-5, -1<<31), 0)
+	is.Equal(level(1<<31-1, 1<<31-1), MaxLevel)
+	is.Equal(Level(nil, nil), 0)
+}
+
+// Guards against an order by level in pools that do not call for it.
+func TestLeveledPoolsServeRoutesOfDifferentPriorities(t *testing.T) {
+	routes := []*fleetv1.Route{}
+	for _, c := range []struct {
+		pool     string
+		priority int32
+		weight   int64
+	}{{"one", 3, 1}, {"one", 3, 1}, {"two", 3, 1}, {"two", 3, 1}, {"two", 0, 1}, {"unused", 1, 1}, {"unused", 2, 0}, {"clamped", 9, 1}, {"clamped", 99, 1}} {
+		routes = append(routes, &fleetv1.Route{Priority: c.priority, Splits: []*fleetv1.Split{{Pool: c.pool, Weight: c.weight}}})
+	}
+	is.New(t).Equal(NewTable(&fleetv1.Site{Routes: routes}).LeveledPools(), map[string]bool{"two": true})
+}
--- a/workspace/admission.go
+++ b/workspace/admission.go
@@ -23,10 +23,12 @@
 	// active holds the workspaces that have requests or had some recently.
 	active map[string]*workspaceState
 	// entries holds the requests that are queued or in flight.
-	entries  map[string]*entry
-	queued   int
-	inFlight int
-	sequence uint64
+	entries map[string]*entry
+	queued  int
+	// queuedByLevel counts the queued requests by level if Config.Levels is set.
+	queuedByLevel map[int]int
+	inFlight      int
+	sequence      uint64
 
 	// activeWeight and activeShareSlots are sums over the workspaces that are not idle.
 	activeWeight     float64
@@ -66,6 +68,7 @@
 		limits:        make(map[string]Limits),
 		active:        make(map[string]*workspaceState),
 		entries:       make(map[string]*entry),
+		queuedByLevel: make(map[int]int),
 		byDeficit:     indexedHeap[*workspaceState]{less: lessDeficit, index: func(s *workspaceState) *int { return &s.deficitIndex }},
 		byVirtualTime: indexedHeap[*workspaceState]{less: lessVirtualTime, index: func(s *workspaceState) *int { return &s.virtualTimeIndex }},
 		byQueueLength: indexedHeap[*workspaceState]{less: longerQueue, index: func(s *workspaceState) *int { return &s.queueLengthIndex }},
@@ -127,6 +130,7 @@
 	e := &entry{
 		request:       r,
 		workspace:     s,
+		level:         a.levelOf(&r),
 		arrived:       now,
 		queueIndex:    notInHeap,
 		deadlineIndex: notInHeap,
--- a/workspace/estimate.go
+++ b/workspace/estimate.go
@@ -148,13 +148,17 @@
 	if a.startsAtOnce(now, e) {
 		return 0
 	}
-	ahead := 0
+	aheadInLevel, ahead := 0, 0 // of the same workspace
 	for _, other := range s.queue.items {
-		if other != e && other.request.Priority >= e.request.Priority {
+		switch {
+		case other.level < e.level:
+			ahead++
+		case other != e && other.level == e.level && other.request.Priority >= e.request.Priority:
+			aheadInLevel++
 			ahead++
 		}
 	}
-	return max(a.slotWait(now, s, ahead+1), a.rateWait(now, s, ahead+1, e.request.ExpectedTokens))
+	return max(a.slotWait(now, e, aheadInLevel+1), a.rateWait(now, s, ahead+1, e.request.ExpectedTokens))
 }
 
 // startsAtOnce reports whether a new request would start now.
@@ -169,9 +173,11 @@
 	return s.belowReserved() || (a.byDeficit.len() == 0 && a.mayBorrow(now, s))
 }
 
-// slotWait estimates when s gets its needed-th slot from now: slots that it is entitled
-// to come from the free slots and all releases, the others at the drain rate of s.
-func (a *Admission) slotWait(now time.Duration, s *workspaceState, needed int) time.Duration {
+// slotWait estimates when the workspace of e gets its needed-th slot for the level of e: slots
+// that it is entitled to come from the free slots and all releases, after those of the queued
+// requests of higher-priority levels, the others at the drain rate of the workspace.
+func (a *Admission) slotWait(now time.Duration, e *entry, needed int) time.Duration {
+	s := e.workspace
 	entitled := s.shareSlots
 	if a.mayBorrow(now, s) {
 		entitled = a.entitlement(s)
@@ -181,21 +187,23 @@
 	}
 	entitledNow := min(max(entitled-float64(s.inFlight), 0), float64(needed))
 	free := float64(max(a.slots-a.inFlight, 0))
-	wait := max(entitledNow-free, 0) / max(a.releaseRate(now), minRate)
+	wait := max(float64(a.queuedBefore(e.level))+entitledNow-free, 0) / max(a.releaseRate(now), minRate)
 	if rest := float64(needed) - entitledNow; rest > 0 {
 		wait += rest / a.drainRate(now, s)
 	}
-	return seconds(min(wait, a.sharedWait(now, s)))
+	return seconds(min(wait, a.sharedWait(now, e)))
 }
 
-// sharedWait returns the time until all queued requests, and one more, have a slot. It is
-// an upper bound of the wait of s even if the share of s is used up, because slots that
-// others do not request are lent. It is infinite where s may not borrow.
-func (a *Admission) sharedWait(now time.Duration, s *workspaceState) float64 {
+// sharedWait returns the time until all queued requests up to the level of e, and one more,
+// have a slot. It is an upper bound of the wait of e even if the share of its workspace is
+// used up, because slots that others do not request are lent. It is infinite where the
+// workspace may not borrow.
+func (a *Admission) sharedWait(now time.Duration, e *entry) float64 {
+	s := e.workspace
 	if s.atConcurrencyLimit() || !a.mayBorrow(now, s) {
 		return math.Inf(1)
 	}
-	return float64(a.queued+1) / max(a.releaseRate(now), minRate)
+	return float64(a.queuedUpTo(e.level)+1) / max(a.releaseRate(now), minRate)
 }
 
 // drainRate returns the number of slots per second that s gets under contention: its
--- a/workspace/gate.go
+++ b/workspace/gate.go
@@ -74,6 +74,19 @@
 	g.update(func(now time.Duration) { g.admission.SetCapacity(now, slots) })
 }
 
+// SetLevels turns the order by level on or off, see Config.Levels.
+func (g *Gate) SetLevels(on bool) {
+	g.update(func(now time.Duration) { g.admission.SetLevels(now, on) })
+}
+
+// QueuedUpTo returns how many requests of a level and of higher-priority ones are queued; where
+// levels are off, all that are queued.
+func (g *Gate) QueuedUpTo(level int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.queuedUpTo(level)
+}
+
 func (g *Gate) Load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/workspace/limits.go
+++ b/workspace/limits.go
@@ -48,6 +48,10 @@
 	InitialHoldTime time.Duration
 	// MaxRetryAfter bounds the Retry-After of refusals.
 	MaxRetryAfter time.Duration
+	// Levels orders the requests of all workspaces by Request.Level first. Reserved slots are then
+	// lent without regard to ReclaimWithin, since an idle slot that is reserved for a workspace of a
+	// lower-priority level would delay a higher-priority request. Admission.SetLevels changes it.
+	Levels bool
 }
 
 // Defaults of Config.
--- a/workspace/refusal.go
+++ b/workspace/refusal.go
@@ -20,6 +20,9 @@
 	if a.queued < a.config.MaxQueued {
 		return nil
 	}
+	if a.config.Levels {
+		return a.makeRoomByLevel(now, e)
+	}
 	longest := a.byQueueLength.top()
 	if float64(s.queue.len()+1)/s.limits.weight() >= longest.weightedQueueLength() {
 		return a.overloadedFault(now, s, "the limit on queued requests over all workspaces is reached")
@@ -29,10 +32,11 @@
 }
 
 // makeRoomInQueue evicts a request from the full queue of the workspace of e if e has a
-// higher priority than some request in it; otherwise it returns the fault for e.
+// higher-priority level, or a higher priority within its level, than some request in it;
+// otherwise it returns the fault for e.
 func (a *Admission) makeRoomInQueue(now time.Duration, e *entry) *fault.Error {
 	for _, other := range e.workspace.queue.items {
-		if other.request.Priority < e.request.Priority {
+		if e.level < other.level || e.level == other.level && other.request.Priority < e.request.Priority {
 			a.evict(now, e.workspace)
 			return nil
 		}
--- a/workspace/request.go
+++ b/workspace/request.go
@@ -15,6 +15,9 @@
 	// Priority orders the requests of one workspace; higher goes first. It has no effect
 	// on other workspaces.
 	Priority int
+	// Level is the priority over the requests of all workspaces where Config.Levels is set; lower
+	// goes first, whatever the Priority. Without Config.Levels it has no effect.
+	Level int
 	// MaxWait bounds the time that this request may be queued; 0 means Config.MaxWait,
 	// which is the upper bound in any case.
 	MaxWait time.Duration
@@ -62,8 +65,10 @@
 
 // entry is a request that is queued or in flight.
 type entry struct {
-	request     Request
-	workspace   *workspaceState
+	request   Request
+	workspace *workspaceState
+	// level is Request.Level if Config.Levels is set, otherwise 0.
+	level       int
 	sequence    uint64
 	arrived     time.Duration
 	latestStart time.Duration
@@ -82,6 +87,9 @@
 
 // before reports whether e starts before other, a request of the same workspace.
 func (e *entry) before(other *entry) bool {
+	if e.level != other.level {
+		return e.level < other.level
+	}
 	if e.request.Priority != other.request.Priority {
 		return e.request.Priority > other.request.Priority
 	}
--- a/workspace/schedule.go
+++ b/workspace/schedule.go
@@ -67,6 +67,7 @@
 	e.sequence = a.sequence
 	a.entries[e.request.ID] = e
 	a.queued++
+	a.countQueued(e.level, 1)
 	s.queuedTokens += e.request.ExpectedTokens
 	s.queue.put(e)
 	a.deadlines.put(e)
@@ -77,6 +78,7 @@
 // its workspace.
 func (a *Admission) removeFromQueue(e *entry) {
 	a.queued--
+	a.countQueued(e.level, -1)
 	e.workspace.queuedTokens -= e.request.ExpectedTokens
 	e.workspace.queue.remove(e)
 	a.deadlines.remove(e)
@@ -101,8 +103,8 @@
 	}
 }
 
-// nextWorkspace returns the workspace whose request starts next, or nil. A workspace with
-// reserved slots left goes first, then one below its weighted share of the rest, then the
+// nextWorkspace returns the workspace whose request starts next, or nil. Where levels are on,
+// it is one with a request of the highest-priority level. A workspace with reserved slots left goes first, then one below its weighted share of the rest, then the
 // one with the least virtual time. The last two borrow slots and are chosen only if
 // mayBorrow allows it.
 func (a *Admission) nextWorkspace(now time.Duration) *workspaceState {
@@ -134,7 +136,7 @@
 func (a *Admission) mayBorrow(now time.Duration, s *workspaceState) bool {
 	lent := a.inFlight - a.reservedInUse
 	minLent := max(minLentFraction*float64(a.slots), 1)
-	if s.belowReserved() || a.config.ReclaimWithin < 0 || float64(lent) < minLent {
+	if s.belowReserved() || a.config.ReclaimWithin < 0 || a.config.Levels || float64(lent) < minLent {
 		return true
 	}
 	a.refreshExpectedReturns(now, s)
@@ -155,9 +157,7 @@
 // grantSlot starts a queued request.
 func (a *Admission) grantSlot(now time.Duration, e *entry) {
 	s := e.workspace
-	if top := a.byVirtualTime.top(); top != nil {
-		a.minVirtualTime = max(a.minVirtualTime, top.virtualTime)
-	}
+	a.advanceMinVirtualTime()
 	e.chargedTime = a.expectedHoldTime(e)
 	e.chargeRate = 1 / max(a.entitlement(s), minEntitlement)
 	s.virtualTime += e.chargedTime.Seconds() * e.chargeRate
--- a/workspace/state.go
+++ b/workspace/state.go
@@ -66,6 +66,9 @@
 	return s
 }
 
+// level returns the level of the next request to start; there must be a queued one.
+func (s *workspaceState) level() int { return s.queue.top().level }
+
 // belowReserved reports whether the next slot is one of the reserved slots. The
 // fractional part of the guaranteed share counts through the entitlement instead: rounded
 // up, many small shares would add up to more than all slots.
@@ -128,10 +131,13 @@
 		s.tokenRate.until(now, s.tokenRate.capacity()))
 }
 
-// lessDeficit orders workspaces by how far they are below their entitlement: first those
-// that have reserved slots left, by the used fraction of these, then the others by
-// weighted excess.
+// lessDeficit orders workspaces by the level of their next request, and within a level by
+// how far they are below their entitlement: first those that have reserved slots left, by
+// the used fraction of these, then the others by weighted excess.
 func lessDeficit(a, b *workspaceState) bool {
+	if levelA, levelB := a.level(), b.level(); levelA != levelB {
+		return levelA < levelB
+	}
 	if a.belowReserved() != b.belowReserved() {
 		return a.belowReserved()
 	}
@@ -146,8 +152,12 @@
 	return a.lastGrant < b.lastGrant
 }
 
-// lessVirtualTime orders workspaces by virtual time.
+// lessVirtualTime orders workspaces by the level of their next request, and within a level
+// by virtual time.
 func lessVirtualTime(a, b *workspaceState) bool {
+	if levelA, levelB := a.level(), b.level(); levelA != levelB {
+		return levelA < levelB
+	}
 	if a.virtualTime != b.virtualTime {
 		return a.virtualTime < b.virtualTime
 	}
