entry, sharing: entries shed by the demand at all of them

An entry decided by its own queue alone. It admitted lower-priority requests while those of higher priority were refused elsewhere.

A shed request takes the path of late requests. Its Retry-After follows the backlog of its level and of higher-priority ones. The new setting least-share is the minimum share of each level.

An entry that has not measured a hold time publishes nothing, since its capacity would be a guess.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -32,6 +32,7 @@
 	policy workspace.Config
 
 	lateQueues lateQueues
+	shedding   *shedding
 
 	mu     sync.Mutex
 	gates  map[string]*workspace.Gate
@@ -42,7 +43,10 @@
 
 // NewAdmissionController returns the admission controller of one entry of the fleet.
 func NewAdmissionController(cfg Config) *AdmissionController {
-	a := &AdmissionController{peers: max(cfg.Peers, 1), routed: cfg.Routed, gates: map[string]*workspace.Gate{}, limits: map[string]workspace.Limits{}}
+	a := &AdmissionController{
+		peers: max(cfg.Peers, 1), routed: cfg.Routed, shedding: newShedding(cfg.LeastShare),
+		gates: map[string]*workspace.Gate{}, limits: map[string]workspace.Limits{},
+	}
 	if cfg.Routed {
 		a.policy = workspace.Config{MaxWait: cfg.MaxWait, MaxRetryAfter: cfg.MaxRetryAfter}
 	}
@@ -62,39 +66,55 @@
 // compete with the other requests of the workspaces. If so many are waiting that this one would
 // not get a slot within maxWait, it is refused immediately.
 func (a *AdmissionController) AdmitLate(ctx context.Context, pool string, r workspace.Request, maxWait time.Duration) (func(), error) {
-	refusal := fault.New(fault.Overloaded, "not run: no capacity was left for a request that is already late",
-		"retry after the given time").RetryIn(a.policy.MaxRetryAfter)
 	gate := a.gate(pool)
 	level := a.levelOf(pool, &r)
+	if !r.Refused {
+		a.shedding.count(pool, level)
+	}
 	if !a.lateQueues.enqueue(pool, level, time.Since(processStart), maxWait, occupancyOf(gate, level)) {
-		return nil, refusal
+		return nil, a.lateRefusal(pool, &r)
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	for {
 		if release, ok := a.acquireLateSlot(pool, level); ok {
 			a.lateQueues.dequeue(pool, level, time.Since(processStart), true)
+			a.shedding.countAdmitted(pool, level)
 			return release, nil
 		}
 		if load := occupancyOf(gate, level); a.lateQueues.acquireShared(pool, level, time.Since(processStart), load) {
 			release, err := a.acquireSharedSlot(ctx, pool, r)
 			if err == nil || load.lowerQueued == 0 || !fault.Is(err, fault.Overloaded) {
 				a.lateQueues.dequeue(pool, level, time.Since(processStart), err == nil)
+				if err == nil {
+					a.shedding.countAdmitted(pool, level)
+				}
 				return release, err
 			}
 		}
 		wait.For(ctx, latePollInterval)
 		if ctx.Err() != nil {
 			a.lateQueues.dequeue(pool, level, time.Since(processStart), false)
-			return nil, refusal
+			return nil, a.lateRefusal(pool, &r)
 		}
 	}
 }
 
+// lateRefusal returns the fault of a late request that got no slot.
+func (a *AdmissionController) lateRefusal(pool string, r *workspace.Request) *fault.Error {
+	retryAfter := a.policy.MaxRetryAfter
+	if delay, shed := a.shedding.retryAfter(pool, r, retryAfter); shed {
+		retryAfter = delay
+	}
+	return fault.New(fault.Overloaded, "not run: no capacity was left for a request that is already late",
+		"retry after the given time").RetryIn(retryAfter)
+}
+
 // SetPoolCapacity implements routed.CapacitySetter.
 func (a *AdmissionController) SetPoolCapacity(pool string, r routed.PoolCapacity) {
 	lateHeld := a.lateQueues.setCapacity(pool, time.Since(processStart), r)
 	a.gate(pool).SetCapacity(r.OnTime + max(r.OtherInFlight-lateHeld, 0))
+	a.shedding.setSlots(pool, r.OnTime+r.Deferred+r.LateSlots+r.OtherInFlight)
 }
 
 // SetLevels sets the pools whose requests are ordered by level over all workspaces. In the others,
@@ -104,6 +124,7 @@
 	a.leveled = leveled
 	gates := maps.Clone(a.gates)
 	a.mu.Unlock()
+	a.shedding.setPools(leveled)
 	for pool, gate := range gates {
 		gate.SetLevels(leveled[pool])
 	}
@@ -150,8 +171,24 @@
 
 // AdmitOnTime implements routed.Admitter.
 func (a *AdmissionController) AdmitOnTime(ctx context.Context, pool string, r workspace.Request) (func(), error) {
-	a.lateQueues.countOnTime(pool, a.levelOf(pool, &r), time.Since(processStart))
-	return a.acquire(ctx, pool, r)
+	level := a.levelOf(pool, &r)
+	a.shedding.count(pool, level)
+	if !a.shedding.admits(pool, &r) {
+		return nil, a.shedRefusal(pool, &r)
+	}
+	a.lateQueues.countOnTime(pool, level, time.Since(processStart))
+	release, err := a.acquire(ctx, pool, r)
+	if err == nil {
+		a.shedding.countAdmitted(pool, level)
+	}
+	return release, err
+}
+
+// shedRefusal returns the fault of a request that is shed.
+func (a *AdmissionController) shedRefusal(pool string, r *workspace.Request) *fault.Error {
+	retryAfter, _ := a.shedding.retryAfter(pool, r, a.policy.MaxRetryAfter)
+	return fault.New(fault.Overloaded, "not run: the pool is overloaded, and requests of higher priority go first",
+		"retry after the given time").RetryIn(retryAfter)
 }
 
 func (a *AdmissionController) acquire(ctx context.Context, pool string, r workspace.Request) (func(), error) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -48,6 +48,7 @@
 	feed       *feed.Client
 	relay      *relay
 	configurer *configurer
+	demand     *DemandExchange
 	outliers   *outlier.Detector
 	pool       *link.Pool
 	ready      *telemetry.Ready
@@ -87,6 +88,7 @@
 	go d.configurer.reports.publishSuspicions(background)
 	if d.config.Routed {
 		go d.runCapacityUpdates(background)
+		go d.demand.run(background)
 	}
 	server := d.httpServer()
 	failed := make(chan error, 1)
--- /dev/null
+++ b/entry/demand.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	"github.com/lilackeel/lilackeel/overload"
+	"github.com/lilackeel/lilackeel/wait"
+	"github.com/lilackeel/lilackeel/workspace"
+)
+
+const (
+	// demandTimeout is how long an entry waits for the response of a host to its demand before it
+	// asks the next one.
+	demandTimeout = 150 * time.Millisecond
+	// demandJitter is the fraction by which the interval varies, so that the entries do not all
+	// publish at the same time.
+	demandJitter = 0.1
+)
+
+// shedding decides which requests are shed in the pools whose requests are ordered by level, and
+// counts the demand for them. In other pools, nothing is counted and nothing is shed. No other lock
+// is taken while its lock is held.
+type shedding struct {
+	leastShare float64
+
+	mu    sync.Mutex
+	pools map[string]*poolShedding
+}
+
+// poolShedding is the state of one pool.
+type poolShedding struct {
+	counter    overload.Counter
+	controller *overload.Controller
+	// slots is how many calls this entry may have in flight in the pool.
+	slots int
+}
+
+func newShedding(leastShare float64) *shedding {
+	return &shedding{leastShare: leastShare, pools: map[string]*poolShedding{}}
+}
+
+// setPools sets the pools whose requests are ordered by level.
+func (s *shedding) setPools(leveled map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for pool := range s.pools {
+		if !leveled[pool] {
+			delete(s.pools, pool)
+		}
+	}
+	for pool := range leveled {
+		if s.pools[pool] == nil {
+			s.pools[pool] = &poolShedding{controller: overload.NewController(s.leastShare)}
+		}
+	}
+}
+
+// names returns the pools in sorted order.
+func (s *shedding) names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names := make([]string, 0, len(s.pools))
+	for pool := range s.pools {
+		names = append(names, pool)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// update calls change with the state of a pool, if its requests are ordered by level.
+func (s *shedding) update(pool string, change func(p *poolShedding, now time.Duration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.pools[pool]; p != nil {
+		change(p, time.Since(processStart))
+	}
+}
+
+// setSlots sets how many calls this entry may have in flight in a pool.
+func (s *shedding) setSlots(pool string, slots int) {
+	s.update(pool, func(p *poolShedding, _ time.Duration) { p.slots = slots })
+}
+
+// count counts an arrival, and countAdmitted a request that got a slot.
+func (s *shedding) count(pool string, level int) {
+	s.update(pool, func(p *poolShedding, now time.Duration) { p.counter.Arrive(now, level) })
+}
+
+func (s *shedding) countAdmitted(pool string, level int) {
+	s.update(pool, func(p *poolShedding, now time.Duration) { p.counter.Admit(now, level) })
+}
+
+// admits reports whether a request may compete for capacity with the other requests on time.
+func (s *shedding) admits(pool string, r *workspace.Request) bool {
+	admitted := true
+	s.update(pool, func(p *poolShedding, _ time.Duration) { admitted = p.controller.Decision().Admits(r.Level, r.Draw) })
+	return admitted
+}
+
+// retryAfter returns when a request may be sent again, at most maxDelay; shed is false if its level
+// is admitted whole.
+func (s *shedding) retryAfter(pool string, r *workspace.Request, maxDelay time.Duration) (delay time.Duration, shed bool) {
+	s.update(pool, func(p *poolShedding, _ time.Duration) {
+		delay, shed = p.controller.RetryAfter(r.Level, r.Draw, maxDelay), p.controller.Decision().Fraction(r.Level) < 1
+	})
+	return delay, shed
+}
+
+// demand returns the demand of this entry for a pool. Without a measured hold time, the capacity is
+// not known, and the demand is left out too: the sums would be wrong otherwise.
+func (a *AdmissionController) demand(pool string) *overload.Demand {
+	holdTime, measured := a.gate(pool).MeasuredHoldTime()
+	demand := &overload.Demand{Entries: 1}
+	a.shedding.update(pool, func(p *poolShedding, now time.Duration) {
+		if measured {
+			demand = p.counter.Demand(now, float64(p.slots)/max(holdTime, time.Millisecond).Seconds())
+		}
+	})
+	return demand
+}
+
+// DemandExchange publishes the demand of this entry for the pools whose requests are ordered by
+// level to hosts, and updates the decision which requests are shed from the sums over all entries.
+type DemandExchange struct {
+	name      string
+	admission *AdmissionController
+	permits   *PermitClient
+	logger    *slog.Logger
+}
+
+// NewDemandExchange returns a DemandExchange that uses the hosts of the permit client.
+func NewDemandExchange(cfg Config, admission *AdmissionController, permits *PermitClient, logger *slog.Logger) *DemandExchange {
+	return &DemandExchange{name: cfg.Name, admission: admission, permits: permits, logger: logger}
+}
+
+// run exchanges demand until ctx ends.
+func (x *DemandExchange) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		started := time.Now()
+		x.exchange(ctx)
+		interval := overload.Interval(max(x.permits.readers(), x.permits.peers))
+		jitter := 1 + demandJitter*(rand.Float64()-0.5)
+		wait.For(ctx, time.Duration(jitter*float64(interval))-time.Since(started))
+	}
+}
+
+// exchange exchanges the demand for all pools once.
+func (x *DemandExchange) exchange(ctx context.Context) {
+	var pools sync.WaitGroup
+	for _, pool := range x.admission.shedding.names() {
+		pools.Go(func() { x.exchangePool(ctx, pool) })
+	}
+	pools.Wait()
+}
+
+// exchangePool publishes the demand for one pool to the first host that answers. The order of the
+// hosts is the same at all entries. Without a host, the entry decides by its own demand.
+func (x *DemandExchange) exchangePool(ctx context.Context, pool string) {
+	demand := x.admission.demand(pool)
+	for _, addr := range x.permits.permitHosts(pool) {
+		if x.permits.inBackoff(addr, time.Since(processStart)) {
+			continue
+		}
+		sums, err := x.publish(ctx, addr, pool, demand)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			x.logger.DebugContext(ctx, "publishing the demand to a host failed", slog.String("agent", addr), slog.Any("error", err))
+			x.permits.backOff(addr, time.Since(processStart))
+			continue
+		}
+		if sums != nil {
+			demand = sums
+		}
+		break
+	}
+	x.admission.shedding.update(pool, func(p *poolShedding, now time.Duration) { p.controller.Update(now, demand) })
+}
+
+// publish publishes the demand to one host and returns the sums over all entries.
+func (x *DemandExchange) publish(ctx context.Context, addr, pool string, demand *overload.Demand) (*overload.Demand, error) {
+	connection, err := x.permits.pool.Get(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, demandTimeout)
+	defer cancel()
+	response, err := agentv1.NewAgentClient(connection).PublishDemand(ctx, &agentv1.PublishDemandRequest{
+		Entry: x.name, Pools: overload.ToProto(map[string]*overload.Demand{pool: demand}),
+	})
+	if err != nil {
+		return nil, err
+	}
+	return overload.FromProto(response.GetPools())[pool], nil
+}
--- a/entry/publish_test.go
+++ b/entry/publish_test.go
@@ -41,6 +41,10 @@
 	return &agentv1.PublishSuspicionsResponse{}, nil
 }
 
+func (h *testHost) PublishDemand(_ context.Context, r *agentv1.PublishDemandRequest) (*agentv1.PublishDemandResponse, error) {
+	return h.shared.PublishDemand(r), nil
+}
+
 func (h *testHost) Permit(_ context.Context, r *agentv1.PermitRequest) (*agentv1.PermitResponse, error) {
 	return h.shared.Permit(r), nil
 }
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -73,6 +73,7 @@
 		client:    directClient,
 		routed:    routedServer,
 	}
+	demandExchange := NewDemandExchange(cfg, admissionController, permitClient, logger)
 	ready := newReady()
 	listener, err := listen(cfg)
 	if err != nil {
@@ -85,6 +86,7 @@
 		feed:       client,
 		relay:      entryRelay,
 		configurer: entryConfigurer,
+		demand:     demandExchange,
 		outliers:   detector,
 		pool:       pool,
 		ready:      ready,
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -24,7 +24,8 @@
 	updatedAt  time.Duration
 	// shed describes, by level, those that are not admitted whole.
 	shed [site.MaxLevel + 1]shedLevel
-	// backlog holds the requests that have been shed and are expected to return, by level.
+	// backlog holds the requests that have been shed and are expected to return, by level, until the
+	// level is readmitted.
 	backlog [site.MaxLevel + 1]float64
 }
 
@@ -49,6 +50,9 @@
 // Decision returns the decision in force.
 func (c *Controller) Decision() *Decision { return &c.decision }
 
+// Demand returns the demand of the last update.
+func (c *Controller) Demand() *Demand { return &c.demand }
+
 // Update decides anew for the demand of all entries, and reports whether Threshold has changed.
 func (c *Controller) Update(now time.Duration, demand *Demand) (changed bool) {
 	c.updateBacklog(now)
@@ -70,6 +74,7 @@
 		}
 		if now-s.fitsSince >= readmitAfter {
 			*s = shedLevel{}
+			c.backlog[level] = 0 // what returns from now on counts as arrivals
 		}
 	}
 	c.decision = c.combine(&next)
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -117,7 +117,8 @@
 		var sum *Demand
 		publish := func(round, entry int) {
 			now := time.Duration(round)*interval + time.Duration(entry)*time.Millisecond
-			sum = s.Publish(now, fmt.Sprint(entry), map[string]*Demand{"p": demandOf(10, 3, 4), fmt.Sprint("own", entry): demandOf(1)})["p"]
+			sum = s.Publish(now, fmt.Sprint(entry), map[string]*Demand{"p": demandOf(10, 3, 4)})["p"]
+			s.Publish(now, fmt.Sprint(entry), map[string]*Demand{fmt.Sprint("own", round, entry): demandOf(1)}) // another pool
 		}
 		for round := range 5 {
 			for entry := range entries {
@@ -126,6 +127,7 @@
 			is.Equal(sum.Entries, entries)
 			is.Equal(sum.Levels[1].Arrivals, 4*float64(entries))
 		}
+		is.True(len(s.pools) <= maxPools)
 		publish(5+int(retention(entries)/interval), 0) // the others are frozen
 		is.Equal(sum.Entries, 1)
 	}
--- a/overload/sums.go
+++ b/overload/sums.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,49 +37,66 @@
 // use; it is safe for concurrent use.
 type Sums struct {
 	mu sync.Mutex
-	// entries holds the latest demand of each entry. Its order makes the rounding of the sums the
-	// same in each run of a simulation.
-	entries []published
+	// pools holds the latest demand of each entry for each pool. The order of the entries makes the
+	// rounding of the sums the same in each run of a simulation.
+	pools map[string][]published
 }
 
-// published is the latest demand of an entry.
+// published is the latest demand of an entry for a pool.
 type published struct {
-	entry string
-	at    time.Duration
-	pools map[string]*Demand
+	entry  string
+	at     time.Duration
+	demand *Demand
 }
 
-// Publish replaces the demand of an entry and returns the sums over all entries, for the pools of
-// this entry. The demand must not be modified afterwards.
+// Publish replaces the demand of an entry for some pools and returns the sums over all entries for
+// these pools. The demand must not be modified afterwards.
 func (s *Sums) Publish(now time.Duration, entry string, pools map[string]*Demand) map[string]*Demand {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.store(now, published{entry, now, pools})
 	sums := make(map[string]*Demand, len(pools))
-	for pool := range pools {
+	for pool, demand := range pools {
+		s.store(now, pool, published{entry, now, demand})
 		sum := &Demand{}
-		for _, p := range s.entries {
-			if d := p.pools[pool]; d != nil {
-				sum.Add(d)
-			}
+		for _, p := range s.pools[pool] {
+			sum.Add(p.demand)
 		}
 		sums[pool] = sum
 	}
 	return sums
 }
 
-// store replaces the demand of an entry and drops those that are too old.
-func (s *Sums) store(now time.Duration, latest published) {
-	oldest := now - retention(len(s.entries))
-	s.entries = slices.DeleteFunc(s.entries, func(p published) bool { return p.at < oldest })
-	if len(latest.pools) > maxPools {
-		return
+// store replaces the demand of an entry for a pool and drops what is too old.
+func (s *Sums) store(now time.Duration, pool string, latest published) {
+	if s.pools == nil {
+		s.pools = map[string][]published{}
 	}
-	at := slices.IndexFunc(s.entries, func(p published) bool { return p.entry == latest.entry })
+	entries, known := s.pools[pool]
+	if !known && len(s.pools) >= maxPools {
+		maps.DeleteFunc(s.pools, func(_ string, entries []published) bool { return allStale(now, entries) })
+		if len(s.pools) >= maxPools {
+			return
+		}
+	}
+	entries = withoutStale(now, entries)
+	at := slices.IndexFunc(entries, func(p published) bool { return p.entry == latest.entry })
 	switch {
 	case at >= 0:
-		s.entries[at] = latest
-	case len(s.entries) < maxPublishers:
-		s.entries = append(s.entries, latest)
+		entries[at] = latest
+	case len(entries) < maxPublishers:
+		entries = append(entries, latest)
 	}
+	s.pools[pool] = entries
+}
+
+// withoutStale removes the demand that no longer counts.
+func withoutStale(now time.Duration, entries []published) []published {
+	oldest := now - retention(len(entries))
+	return slices.DeleteFunc(entries, func(p published) bool { return p.at < oldest })
+}
+
+// allStale reports whether no demand counts any longer.
+func allStale(now time.Duration, entries []published) bool {
+	oldest := now - retention(len(entries))
+	return !slices.ContainsFunc(entries, func(p published) bool { return p.at >= oldest })
 }
--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -139,6 +139,11 @@
 	return &agentv1.PublishSuspicionsResponse{}, nil
 }
 
+// PublishDemand implements agentv1.AgentServer.
+func (s *service) PublishDemand(_ context.Context, r *agentv1.PublishDemandRequest) (*agentv1.PublishDemandResponse, error) {
+	return s.shared.PublishDemand(r), nil
+}
+
 // Permit implements agentv1.AgentServer.
 func (s *service) Permit(_ context.Context, r *agentv1.PermitRequest) (*agentv1.PermitResponse, error) {
 	return s.shared.Permit(r), nil
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -108,7 +108,8 @@
 func (x *exchange) admit(ctx context.Context) (release func(), err error) {
 	s, q := x.server, x.request
 	r := workspace.Request{
-		Workspace: q.workspace.GetName(), Priority: -q.priority, Level: q.level, Deadline: q.deadline, ExpectedTokens: q.work.PromptTokens + q.work.MaxTokens,
+		Workspace: q.workspace.GetName(), Priority: -q.priority, Level: q.level, Draw: rand.Uint64(),
+		Deadline: q.deadline, ExpectedTokens: q.work.PromptTokens + q.work.MaxTokens,
 	}
 	if refusal := x.pausedRefusal(); refusal != nil {
 		return nil, refusal
@@ -119,6 +120,7 @@
 		if err == nil || !fault.Is(err, fault.Overloaded) {
 			return release, err
 		}
+		r.Refused = true
 	}
 	// The time spent waiting for the first site counts.
 	left := q.lateQueueWait() - (s.clock() - q.arrived)
--- a/routed/placement.go
+++ b/routed/placement.go
@@ -49,6 +49,8 @@
 type PoolCapacity struct {
 	// OnTime is how many calls may be in flight in groups that respond on time.
 	OnTime int
+	// Deferred is how many more calls may be in flight in these groups after the next update.
+	Deferred int
 	// OtherInFlight is how many calls are in flight in other groups.
 	OtherInFlight int
 	// LateSlots is how many more calls may start in groups that respond late.
@@ -83,6 +85,7 @@
 		switch {
 		case r.state == wantedState:
 			capacity.OnTime += r.limit - r.deferred
+			capacity.Deferred += r.deferred
 		case r.state == lockstep.Behind:
 			capacity.LateSlots += max(r.limit-r.deferred-r.ownCalls, 0)
 			capacity.OtherInFlight += r.ownCalls
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,7 +1,7 @@
 // Package sharing implements the host side of what entries share through the hosts whose load
-// reports they all read: crash reports, the rate limits that endpoints advertise, and suspicions of
-// unresponsive endpoints. A host forwards them to all entries, and grants a permit for each request
-// to a rate-limited endpoint. The control replicas are not involved, so that an entry that is
+// reports they all read: crash reports, the rate limits that endpoints advertise, suspicions of
+// unresponsive endpoints, and the demand for pools. A host forwards the first three to all entries,
+// grants a permit for each request to a rate-limited endpoint, and adds up the demand. The control replicas are not involved, so that an entry that is
 // partitioned from them can still share.
 package sharing
 
@@ -10,6 +10,7 @@
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
+	"github.com/lilackeel/lilackeel/overload"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/ratelimit"
 )
@@ -20,6 +21,7 @@
 	crashes    *quarantine.Registry
 	limits     *ratelimit.Arbiter
 	suspicions suspicion.Log
+	demand     overload.Sums
 }
 
 // NewHost returns a host with the limits of the arbiter and no other data. All times are those of
@@ -39,6 +41,12 @@
 	h.suspicions.Add(now, suspicion.FromProto(now, r.GetSuspicions()))
 }
 
+// PublishDemand stores the demand of an entry and returns the sums over all entries.
+func (h *Host) PublishDemand(r *agentv1.PublishDemandRequest) *agentv1.PublishDemandResponse {
+	sums := h.demand.Publish(h.clock(), r.GetEntry(), overload.FromProto(r.GetPools()))
+	return &agentv1.PublishDemandResponse{Pools: overload.ToProto(sums)}
+}
+
 // Permit handles a permit request for an endpoint that advertises a limit. A request that wants no
 // permit only updates the limit.
 func (h *Host) Permit(r *agentv1.PermitRequest) *agentv1.PermitResponse {
--- a/sharing/sharing_test.go
+++ b/sharing/sharing_test.go
@@ -41,3 +41,18 @@
 	permit = h.Permit(&agentv1.PermitRequest{Limit: &agentv1.RateLimit{Endpoint: "e/1", Rate: &negative}, Wanted: true})
 	is.True(!permit.GetGranted())
 }
+
+// Guards against a host that does not add up the demand of the entries.
+func TestHostAddsUpDemand(t *testing.T) {
+	is := is.New(t)
+	h := NewHost(func() time.Duration { return time.Hour }, ratelimit.NewArbiter())
+	for i, entry := range []string{"a", "b", "b"} {
+		demand := &agentv1.PoolDemand{Pool: "p", Capacity: 5, Entries: 1, Levels: []*agentv1.LevelDemand{{Level: 3, Arrivals: 2, Admitted: 1}}}
+		sum := h.PublishDemand(&agentv1.PublishDemandRequest{Entry: entry, Pools: []*agentv1.PoolDemand{demand}}).GetPools()[0]
+		entries := float64(min(i+1, 2))
+		is.Equal(float64(sum.GetEntries()), entries)
+		is.Equal(sum.GetCapacity(), 5*entries)
+		is.Equal(sum.GetLevels()[0].GetArrivals(), 2*entries)
+		is.Equal(sum.GetLevels()[0].GetAdmitted(), entries)
+	}
+}
--- a/workspace/gate.go
+++ b/workspace/gate.go
@@ -100,6 +100,14 @@
 	return g.admission.MeanHoldTime()
 }
 
+// MeasuredHoldTime returns the mean time that requests hold their slots; ok is false if none has been
+// measured.
+func (g *Gate) MeasuredHoldTime() (mean time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.MeanHoldTime(), g.admission.holdTime.samples > 0
+}
+
 // Acquire waits for a slot. On success the caller must call release when the request has
 // ended; only the first call has an effect. An error is a *fault.Error and means that the
 // request has not run. An empty ID is generated; a zero Deadline is taken from ctx.
