entry, routed, operator: operators and engines see the levels of requests

Which levels a pool served and which it shed was not visible, and engines did not learn the order.

For pools with levels, entries count arrivals, admitted and shed requests by level, state the admitted level as a gauge and log its changes, at most once a second for each pool. The header for the engine's priority carries the rank of the level, 0 to 9; its name was reserved but never sent. The end line of a request carries its level, and the summary of the logs lists the outcomes by level. The field is named priority_level, since level is the severity of a log line.

A pool that has stopped counts as one of unknown capacity: it is not overloaded by its demand, and nothing is shed.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -114,7 +114,11 @@
 func (a *AdmissionController) SetPoolCapacity(pool string, r routed.PoolCapacity) {
 	lateHeld := a.lateQueues.setCapacity(pool, time.Since(processStart), r)
 	a.gate(pool).SetCapacity(r.OnTime + max(r.OtherInFlight-lateHeld, 0))
-	a.shedding.setSlots(pool, r.OnTime+r.Deferred+r.LateSlots+r.OtherInFlight)
+	slots := r.OnTime + r.Deferred + r.LateSlots + r.OtherInFlight
+	if r.AfterReopen > 0 {
+		slots = 0 // a pool that has stopped is not overloaded by its demand
+	}
+	a.shedding.setSlots(pool, slots)
 }
 
 // SetLevels sets the pools whose requests are ordered by level over all workspaces. In the others,
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -2,14 +2,18 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	"github.com/lilackeel/lilackeel/overload"
+	"github.com/lilackeel/lilackeel/site"
 	"github.com/lilackeel/lilackeel/wait"
 	"github.com/lilackeel/lilackeel/workspace"
 )
@@ -37,8 +41,35 @@
 type poolShedding struct {
 	counter    overload.Counter
 	controller *overload.Controller
-	// slots is how many calls this entry may have in flight in the pool.
+	// slots is how many calls this entry may have in flight in the pool; zero if that is not known.
 	slots int
+	// metrics holds the metrics of each level that has had requests.
+	metrics map[int]*levelMetrics
+	// loggedLevel is the admitted level that was logged last, at the time loggedAt.
+	loggedLevel int
+	loggedAt    time.Duration
+}
+
+// levelMetrics counts the requests of one level of a pool.
+type levelMetrics struct{ arrivals, admitted, shed *metrics.Counter }
+
+// level returns the metrics of a level.
+func (p *poolShedding) level(pool string, level int) *levelMetrics {
+	m := p.metrics[level]
+	if m == nil {
+		m = &levelMetrics{
+			arrivals: metrics.GetOrCreateCounter(fmt.Sprintf(`lilackeel_level_arrivals_total{pool=%q,level="%d"}`, pool, level)),
+			admitted: metrics.GetOrCreateCounter(fmt.Sprintf(`lilackeel_level_admitted_total{pool=%q,level="%d"}`, pool, level)),
+			shed:     metrics.GetOrCreateCounter(fmt.Sprintf(`lilackeel_level_shed_total{pool=%q,level="%d"}`, pool, level)),
+		}
+		p.metrics[level] = m
+	}
+	return m
+}
+
+// admittedLevelGauge returns the name of the gauge of a pool's admitted level.
+func admittedLevelGauge(pool string) string {
+	return fmt.Sprintf(`lilackeel_admitted_level{pool=%q}`, pool)
 }
 
 func newShedding(leastShare float64) *shedding {
@@ -52,11 +83,14 @@
 	for pool := range s.pools {
 		if !leveled[pool] {
 			delete(s.pools, pool)
+			metrics.UnregisterMetric(admittedLevelGauge(pool))
 		}
 	}
 	for pool := range leveled {
 		if s.pools[pool] == nil {
-			s.pools[pool] = &poolShedding{controller: overload.NewController(s.leastShare)}
+			p := &poolShedding{controller: overload.NewController(s.leastShare), metrics: map[int]*levelMetrics{}, loggedLevel: site.MaxLevel}
+			s.pools[pool] = p
+			metrics.GetOrCreateGauge(admittedLevelGauge(pool), nil).Set(site.MaxLevel)
 		}
 	}
 }
@@ -82,24 +116,34 @@
 	}
 }
 
-// setSlots sets how many calls this entry may have in flight in a pool.
+// setSlots sets how many calls this entry may have in flight in a pool; zero if that is not known.
 func (s *shedding) setSlots(pool string, slots int) {
 	s.update(pool, func(p *poolShedding, _ time.Duration) { p.slots = slots })
 }
 
 // count counts an arrival, and countAdmitted a request that got a slot.
 func (s *shedding) count(pool string, level int) {
-	s.update(pool, func(p *poolShedding, now time.Duration) { p.counter.Arrive(now, level) })
+	s.update(pool, func(p *poolShedding, now time.Duration) {
+		p.counter.Arrive(now, level)
+		p.level(pool, level).arrivals.Inc()
+	})
 }
 
 func (s *shedding) countAdmitted(pool string, level int) {
-	s.update(pool, func(p *poolShedding, now time.Duration) { p.counter.Admit(now, level) })
+	s.update(pool, func(p *poolShedding, now time.Duration) {
+		p.counter.Admit(now, level)
+		p.level(pool, level).admitted.Inc()
+	})
 }
 
 // admits reports whether a request may compete for capacity with the other requests on time.
 func (s *shedding) admits(pool string, r *workspace.Request) bool {
 	admitted := true
-	s.update(pool, func(p *poolShedding, _ time.Duration) { admitted = p.controller.Decision().Admits(r.Level, r.Draw) })
+	s.update(pool, func(p *poolShedding, _ time.Duration) {
+		if admitted = p.controller.Decision().Admits(r.Level, r.Draw); !admitted {
+			p.level(pool, r.Level).shed.Inc()
+		}
+	})
 	return admitted
 }
 
@@ -112,13 +156,13 @@
 	return delay, shed
 }
 
-// demand returns the demand of this entry for a pool. Without a measured hold time, the capacity is
-// not known, and the demand is left out too: the sums would be wrong otherwise.
+// demand returns the demand of this entry for a pool. Without slots or a measured hold time, the
+// capacity is not known, and the demand is left out too: the sums would be wrong otherwise.
 func (a *AdmissionController) demand(pool string) *overload.Demand {
 	holdTime, measured := a.gate(pool).MeasuredHoldTime()
 	demand := &overload.Demand{Entries: 1}
 	a.shedding.update(pool, func(p *poolShedding, now time.Duration) {
-		if measured {
+		if measured && p.slots > 0 {
 			demand = p.counter.Demand(now, float64(p.slots)/max(holdTime, time.Millisecond).Seconds())
 		}
 	})
@@ -181,7 +225,28 @@
 		}
 		break
 	}
-	x.admission.shedding.update(pool, func(p *poolShedding, now time.Duration) { p.controller.Update(now, demand) })
+	x.update(ctx, pool, demand)
+}
+
+// minLevelLogInterval is the minimum time between two log lines about the admitted level of a pool.
+const minLevelLogInterval = time.Second
+
+// update decides anew which requests of a pool are shed.
+func (x *DemandExchange) update(ctx context.Context, pool string, demand *overload.Demand) {
+	level, former, isLogged := 0, 0, false
+	x.admission.shedding.update(pool, func(p *poolShedding, now time.Duration) {
+		p.controller.Update(now, demand)
+		level, former = p.controller.Decision().Threshold, p.loggedLevel
+		metrics.GetOrCreateGauge(admittedLevelGauge(pool), nil).Set(float64(level))
+		if isLogged = level != former && (p.loggedAt == 0 || now-p.loggedAt >= minLevelLogInterval); isLogged {
+			p.loggedLevel, p.loggedAt = level, now
+		}
+	})
+	if isLogged {
+		x.logger.LogAttrs(ctx, slog.LevelInfo, "the admitted level of a pool changed",
+			slog.String("pool", pool), slog.Int("priority_level", level), slog.Int("former", former),
+			slog.Float64("arrivals", demand.Arrivals()), slog.Float64("capacity", demand.Capacity), slog.Int("entries", demand.Entries))
+	}
 }
 
 // publish publishes the demand to one host and returns the sums over all entries.
--- a/operator/summary.go
+++ b/operator/summary.go
@@ -48,7 +48,10 @@
 // logSummary counts the outcomes of requests and their causes.
 type logSummary struct {
 	outcomeCounts map[summaryKey]map[string]int
-	causes        map[string]*causeCount
+	// levelCounts counts outcomes by pool and level; only pools with requests of different levels are
+	// printed.
+	levelCounts map[levelKey]map[string]int
+	causes      map[string]*causeCount
 	// endedEndpoints holds the endpoints whose processes ended during a request, by
 	// the fingerprint of the request.
 	endedEndpoints map[string]map[string]bool
@@ -60,6 +63,12 @@
 	pool  string
 }
 
+// levelKey identifies a row of the outcomes by level.
+type levelKey struct {
+	pool  string
+	level int
+}
+
 // causeCount is the number of occurrences of a cause, and the times of the first and
 // the last.
 type causeCount struct {
@@ -68,7 +77,7 @@
 }
 
 func newLogSummary(lines []logLine) *logSummary {
-	summary := &logSummary{outcomeCounts: map[summaryKey]map[string]int{}, causes: map[string]*causeCount{}, endedEndpoints: map[string]map[string]bool{}}
+	summary := &logSummary{outcomeCounts: map[summaryKey]map[string]int{}, levelCounts: map[levelKey]map[string]int{}, causes: map[string]*causeCount{}, endedEndpoints: map[string]map[string]bool{}}
 	for i := range lines {
 		summary.add(&lines[i])
 	}
@@ -81,6 +90,7 @@
 	case messageRequestEnded:
 		outcome := line.stringField("outcome")
 		s.countOutcome(line, outcome)
+		s.countLevel(line, outcome)
 		if outcome != "answered" {
 			s.countCause(line, outcome)
 		}
@@ -112,6 +122,19 @@
 	s.outcomeCounts[key][outcome]++
 }
 
+// countLevel counts the outcome of a request whose line states its level.
+func (s *logSummary) countLevel(line *logLine, outcome string) {
+	level, ok := line.fields["priority_level"].(float64)
+	if !ok {
+		return
+	}
+	key := levelKey{line.stringField("pool"), int(level)}
+	if s.levelCounts[key] == nil {
+		s.levelCounts[key] = map[string]int{}
+	}
+	s.levelCounts[key][outcome]++
+}
+
 // variableWords matches words with digits, which differ from request to request.
 var variableWords = regexp.MustCompile(`[0-9a-z]*\d+[0-9a-z]*`)
 
@@ -129,6 +152,7 @@
 
 func (s *logSummary) write(w io.Writer) {
 	s.writeOutcomes(w)
+	s.writeLevels(w)
 	s.writeCauses(w)
 	s.writeEndedEndpoints(w)
 }
@@ -155,6 +179,35 @@
 	rows.flush()
 }
 
+// writeLevels prints the outcomes by level of the pools that have had requests of different levels.
+func (s *logSummary) writeLevels(w io.Writer) {
+	levelsOf := map[string]int{}
+	for key := range s.levelCounts {
+		levelsOf[key.pool]++
+	}
+	var keys []levelKey
+	for key := range s.levelCounts {
+		if levelsOf[key.pool] > 1 {
+			keys = append(keys, key)
+		}
+	}
+	if len(keys) == 0 {
+		return
+	}
+	slices.SortFunc(keys, func(a, b levelKey) int { return cmp.Or(cmp.Compare(a.pool, b.pool), cmp.Compare(a.level, b.level)) })
+	fmt.Fprintln(w)
+	columns := outcomeColumns[:len(outcomeColumns)-1] // the level of a request that is refused at once is not known
+	rows := newTable(w, append([]string{"POOL", "LEVEL"}, upperCaseAll(columns)...)...)
+	for _, key := range keys {
+		cells := []string{cmp.Or(key.pool, "-"), strconv.Itoa(key.level)}
+		for _, outcome := range columns {
+			cells = append(cells, strconv.Itoa(s.levelCounts[key][outcome]))
+		}
+		rows.row(cells...)
+	}
+	rows.flush()
+}
+
 func upperCaseAll(words []string) []string {
 	upper := make([]string, 0, len(words))
 	for _, word := range words {
--- a/operator/summary_test.go
+++ b/operator/summary_test.go
@@ -17,6 +17,13 @@
 {"time":"2026-09-24T18:45:53.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-b","fingerprint":"f00d","endpoint":"e2","ends":2}
 `
 
+// levelLog holds lines about requests of several levels in one pool, and of one level in another.
+const levelLog = `{"time":"2026-09-24T18:46:10.000000000Z","level":"INFO","msg":"ended a request","daemon":"lilackeel-entry","host":"front-a","pool":"mixed","priority_level":12,"outcome":"not-run"}
+{"time":"2026-09-24T18:46:11.000000000Z","level":"INFO","msg":"ended a request","daemon":"lilackeel-entry","host":"front-a","pool":"mixed","priority_level":0,"outcome":"answered"}
+{"time":"2026-09-24T18:46:12.000000000Z","level":"INFO","msg":"ended a request","daemon":"lilackeel-entry","host":"front-a","pool":"mixed","priority_level":12,"outcome":"answered"}
+{"time":"2026-09-24T18:46:13.000000000Z","level":"INFO","msg":"ended a request","daemon":"lilackeel-entry","host":"front-a","pool":"uniform","priority_level":7,"outcome":"answered"}
+`
+
 func runSummary(t *testing.T, text string) (string, int) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "log")
@@ -28,7 +35,7 @@
 
 func TestSummary(t *testing.T) {
 	is := is.New(t)
-	text, code := runSummary(t, recordedLog+endpointEndedLog)
+	text, code := runSummary(t, recordedLog+endpointEndedLog+levelLog)
 	is.Equal(code, ExitOK)
 	lines := strings.Split(text, "\n")
 	has := func(parts ...string) bool {
@@ -42,8 +49,11 @@
 	is.True(has("18:45:40", "p", "0", "1", "0", "0", "0"))                                                    // by time and pool
 	is.True(has("1", "18:45:44", "18:45:44", "not-run: overloaded: not run: workspace w would wait about …")) // by cause
 	is.True(has("1", "18:45:50", "18:45:50", "trying again: unknown: the endpoint's answer was cut"))         // by cause of retries
-	is.True(has("2", "f00d"))                                                                                 // two endpoints ended during it
-	is.True(!strings.Contains(text, "beef"))                                                                  // only one endpoint ended during it
+	is.True(has("mixed", "0", "1", "0", "0", "0"))                                                            // by level
+	is.True(has("mixed", "12", "1", "1", "0", "0"))
+	is.True(!has("uniform", "7", "1", "0", "0", "0"))
+	is.True(has("2", "f00d"))                // two endpoints ended during it
+	is.True(!strings.Contains(text, "beef")) // only one endpoint ended during it
 }
 
 func TestSummaryOfLogsWithoutRequests(t *testing.T) {
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -53,11 +53,10 @@
 // Demand returns the demand of the last update.
 func (c *Controller) Demand() *Demand { return &c.demand }
 
-// Update decides anew for the demand of all entries, and reports whether Threshold has changed.
-func (c *Controller) Update(now time.Duration, demand *Demand) (changed bool) {
+// Update decides anew for the demand of all entries.
+func (c *Controller) Update(now time.Duration, demand *Demand) {
 	c.updateBacklog(now)
 	c.demand, c.updatedAt = *demand, now
-	former := c.decision.Threshold
 	next := Decide(demand, c.leastShare)
 	for _, l := range next.levels {
 		if l.fraction < 1 {
@@ -78,7 +77,6 @@
 		}
 	}
 	c.decision = c.combine(&next)
-	return c.decision.Threshold != former
 }
 
 // combine returns the decision with the fractions of the levels that are not readmitted yet.
--- a/overload/decide.go
+++ b/overload/decide.go
@@ -38,7 +38,7 @@
 func Decide(d *Demand, leastShare float64) Decision {
 	decision := Decision{Threshold: site.MaxLevel}
 	room := usableShare * d.Capacity
-	if d.Capacity <= 0 || d.total() <= room {
+	if d.Capacity <= 0 || d.Arrivals() <= room {
 		return decision
 	}
 	least := min(max(leastShare, 0), maxLeastShares/float64(len(d.Levels))) * d.Capacity // there is at least one level
--- a/overload/demand.go
+++ b/overload/demand.go
@@ -40,8 +40,8 @@
 	d.Entries += other.Entries
 }
 
-// total returns the arrivals of all levels.
-func (d *Demand) total() float64 {
+// Arrivals returns the arrivals of all levels, in requests per second.
+func (d *Demand) Arrivals() float64 {
 	sum := 0.0
 	for _, l := range d.Levels {
 		sum += l.Arrivals
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -230,6 +230,9 @@
 	if q.workspace != nil {
 		setNamed(header, names.Workspace, q.workspace.GetName())
 	}
+	if q.engineRank != "" {
+		setNamed(header, names.Priority, q.engineRank)
+	}
 	if last, ok := x.splitter.LastID(); ok {
 		header.Set(headerLastEvent, strconv.FormatInt(last, 10))
 	} else if given := q.header.Values(headerLastEvent); len(given) > 0 {
@@ -303,7 +306,7 @@
 	}
 	s.Logger.LogAttrs(x.callerCtx, slog.LevelInfo, "ended a request",
 		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint), slog.String("route", q.route.GetName()), slog.Uint64("version", q.siteVersion),
-		slog.String("workspace", q.workspace.GetName()), slog.String("pool", q.pool), slog.String("endpoint", x.target.ID),
+		slog.String("workspace", q.workspace.GetName()), slog.String("pool", q.pool), slog.Int("priority_level", q.level), slog.String("endpoint", x.target.ID),
 		slog.Int("attempts", len(x.tried)), slog.String("outcome", x.outcome), slog.Int("status", status),
 		slog.Duration("placed", x.admissionTime), slog.Duration("first", x.timeToFirstChunk), slog.Duration("longest_pause", x.longestGap),
 		slog.Duration("took", took), slog.Duration("left", q.deadline-s.clock()),
--- a/routed/headers.go
+++ b/routed/headers.go
@@ -21,7 +21,8 @@
 	// Endpoint, to endpoints: the id of the intended endpoint. Any other endpoint responds
 	// with 421 and runs nothing.
 	Endpoint string
-	// Priority, to endpoints: the priority of the request, 0 first.
+	// Priority, to endpoints: the rank of the request's level among those of the pool, from 0, which
+	// goes first, to 9. It is sent where the requests of the pool are ordered by level.
 	Priority string
 	// NotRun, from endpoints: its presence proves that the request did not run.
 	NotRun string
--- a/routed/request.go
+++ b/routed/request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -31,6 +32,9 @@
 	priority  int
 	// level is the priority over the requests of all workspaces, 0 first.
 	level int
+	// engineRank is the value of the header for the engine's priority; empty if the requests of the
+	// pool are not ordered by level.
+	engineRank string
 	// target is the path and query as they stood in the request line.
 	method, target, host string
 	header               http.Header
@@ -75,6 +79,9 @@
 	q.pool = site.PickPool(q.route, xxhash.Sum64String(q.id))
 	q.priority = site.Priority(q.route, q.workspace)
 	q.level = site.Level(q.route, q.workspace)
+	if rank, ok := table.LevelRank(q.pool, q.level); ok {
+		q.engineRank = strconv.Itoa(rank)
+	}
 	if s.config.Headers.Size != nil {
 		q.work.PromptTokens, q.work.MaxTokens = s.config.Headers.Size(r.Header)
 	}
--- a/routed/routed_test.go
+++ b/routed/routed_test.go
@@ -320,3 +320,22 @@
 	}
 	is.True(misdirected <= 1)
 }
+
+// Guards against engines that do not learn the level of a request, or learn one where the requests of
+// the pool are not ordered by level.
+func TestEngineLearnsRankOfLevel(t *testing.T) {
+	is := is.New(t)
+	b := newTestEntry(t, answerOK)
+	caller := http.Header{"Lilackeel-Engine-Priority": {"0"}}
+	_, _, _ = post(t, b, "/read/1", caller)
+	published := testSite()
+	published.Routes[1].Priority = 4
+	b.server.Publish(site.NewTable(published))
+	_, _, _ = post(t, b, "/read/1", caller)
+	_, _, _ = post(t, b, "/stream/1", caller)
+	var ranks []string
+	for _, r := range b.requests() {
+		ranks = append(ranks, r.Header.Get(DefaultHeaders.Priority))
+	}
+	is.Equal(ranks, []string{"", "1", "0"})
+}
--- a/site/site.go
+++ b/site/site.go
@@ -20,6 +20,9 @@
 	routes     map[string][]*fleetv1.Route
 	pools      map[string]*fleetv1.Pool
 	workspaces map[string]*fleetv1.Workspace
+	// levels holds, for each pool whose requests are ordered by level, the levels that its requests
+	// can have, in ascending order.
+	levels map[string][]int
 }
 
 // NewTable indexes a site; nil means that there is none. The table retains the site, which must not
@@ -46,6 +49,7 @@
 			t.workspaces[digest] = workspace
 		}
 	}
+	t.levels = t.poolLevels()
 	return t
 }
 
@@ -162,6 +166,55 @@
 // LeveledPools returns the pools whose requests are ordered by level: those that serve routes of
 // different priorities.
 func (t *Table) LeveledPools() map[string]bool {
+	leveled := make(map[string]bool, len(t.levels))
+	for pool := range t.levels {
+		leveled[pool] = true
+	}
+	return leveled
+}
+
+// levelRanks is the number of ranks that LevelRank distinguishes.
+const levelRanks = 10
+
+// LevelRank returns the rank of a level among those that the requests of a pool can have, 0 first and
+// at most 9; with more than ten levels, neighbors share a rank. ok is false if the requests of the
+// pool are not ordered by level.
+func (t *Table) LevelRank(pool string, level int) (rank int, ok bool) {
+	levels, ok := t.levels[pool]
+	if !ok {
+		return 0, false
+	}
+	rank, _ = slices.BinarySearch(levels, level)
+	return min(rank, len(levels)-1) * levelRanks / max(len(levels), levelRanks), true
+}
+
+// poolLevels returns the levels of the pools that serve routes of different priorities.
+func (t *Table) poolLevels() map[string][]int {
+	leveled := t.mixedPools()
+	levels := map[string][]int{}
+	for _, route := range t.Routes() {
+		for _, split := range route.GetSplits() {
+			pool := split.GetPool()
+			if split.GetWeight() <= 0 || !leveled[pool] {
+				continue
+			}
+			if route.GetPublic() || !t.HasWorkspaces() {
+				levels[pool] = append(levels[pool], Level(route, nil))
+			}
+			for _, workspace := range t.Workspaces() {
+				levels[pool] = append(levels[pool], Level(route, workspace))
+			}
+		}
+	}
+	for pool := range levels {
+		slices.Sort(levels[pool])
+		levels[pool] = slices.Compact(levels[pool])
+	}
+	return levels
+}
+
+// mixedPools returns the pools that serve routes of different priorities.
+func (t *Table) mixedPools() map[string]bool {
 	leveled, first := map[string]bool{}, map[string]int{}
 	for _, route := range t.Routes() {
 		priority := clampPriority(route.GetPriority())
--- a/site/site_test.go
+++ b/site/site_test.go
@@ -92,3 +92,27 @@
 	}
 	is.New(t).Equal(NewTable(&fleetv1.Site{Routes: routes}).LeveledPools(), map[string]bool{"two": true})
 }
+
+// Guards against a header for engines that is out of range or in another order than the levels.
+func TestLevelRankOrdersLevelsOfPool(t *testing.T) {
+	is := is.New(t)
+	split := []*fleetv1.Split{{Pool: "p", Weight: 1}}
+	s := &fleetv1.Site{Routes: []*fleetv1.Route{{Priority: 2, Splits: split}, {Priority: 7, Splits: split}, {Splits: []*fleetv1.Split{{Pool: "q", Weight: 1}}}}}
+	rank := func(pool string, level int) int {
+		r, ok := NewTable(s).LevelRank(pool, level)
+		is.Equal(ok, pool == "p")
+		return r
+	}
+	is.Equal(rank("p", 22), 0)
+	is.Equal(rank("p", 77), 1)
+	rank("q", 0)
+	for priority := range int32(9) {
+		s.Workspaces = append(s.Workspaces, &fleetv1.Workspace{Priority: &priority})
+	}
+	former := 0
+	for _, level := range []int{2, 7, 12, 17, 22, 27, 32, 37, 42, 47, 52, 57, 62, 67, 72, 77, 82, 87} {
+		is.True(rank("p", level) >= former && rank("p", level) <= 9)
+		former = rank("p", level)
+	}
+	is.Equal([]int{rank("p", 2), rank("p", 87), rank("p", 99), former}, []int{0, 9, 9, 9}) // 99 is of a former site
+}
