--- a/overload/decide.go
+++ b/overload/decide.go
@@ -51,8 +51,8 @@
 		minimum := min(l.Arrivals, least)
 		extra := min(l.Arrivals-minimum, max(room, 0))
 		room -= extra
-		fraction := 1.0
-		if l.Arrivals > 0 {
+		fraction := 1.0 // exactly, where rounding would shed a part in a million
+		if minimum+extra < l.Arrivals*(1-1e-9) {
 			fraction = (minimum + extra) / l.Arrivals
 		}
 		if extra > 0 {
