entry, overload, workspace: levels are shed through the slots of each entry

Requests were shed one by one: a draw kept them from the queue, and they took the path of late requests. That served as many requests, but fewer on time, since shed requests came back late and took slots that others left.

The decision now limits the slots of each entry to 1.5 times its share of the admitted demand, and the queue decides who gets them. A late request goes before on-time ones of lower-priority levels only while the pool is overloaded and its own level is admitted whole. The least share of a level is kept by the queue, counting refused requests too.

--- a/entry/config.go
+++ b/entry/config.go
@@ -71,8 +71,8 @@
 	// MaxWait is the longest wait of a request of a route for a free slot, MaxRetryAfter the longest
 	// delay after which a refused one is asked to retry.
 	MaxWait, MaxRetryAfter time.Duration
-	// LeastShare is the share of a pool's capacity that each level of priority may always use while
-	// levels are shed.
+	// LeastShare is the share of a pool's capacity that each level of priority gets whatever the
+	// demand of higher-priority levels.
 	LeastShare float64
 	// CallerIdle is how long an idle connection of a caller is kept open.
 	CallerIdle time.Duration
@@ -111,7 +111,7 @@
 	s.Duration(&cfg.RetryAfter, "retry-after", call.DefaultRetryAfter, "default delay after which a refused caller of a route is asked to retry", setting.Min(time.Millisecond))
 	s.Duration(&cfg.MaxWait, "max-wait", 300*time.Millisecond, "longest wait of a request of a route for a free slot", setting.Min(time.Millisecond))
 	s.Duration(&cfg.MaxRetryAfter, "max-retry-after", 2500*time.Millisecond, "longest delay after which a refused caller of a route is asked to retry", setting.Min(time.Millisecond))
-	s.Float(&cfg.LeastShare, "least-share", overload.DefaultLeastShare, "share of a pool's capacity that each level of priority gets while lower-priority ones are shed; half the capacity for all levels together at most", setting.Min(0.0), setting.Max(0.5))
+	s.Float(&cfg.LeastShare, "least-share", overload.DefaultLeastShare, "share of a pool's capacity that each level of priority gets whatever the demand of higher-priority ones; half the capacity for all levels together at most", setting.Min(0.0), setting.Max(0.5))
 	s.Duration(&cfg.CallerIdle, "caller-idle", idleTimeout, "how long an idle connection of a caller is kept open", setting.Min(time.Second))
 	s.Duration(&cfg.DrainDelay, "drain-delay", 2*time.Second, "how long a stopping entry that is no longer ready still accepts requests", setting.Min(time.Duration(0)))
 	s.Duration(&cfg.StopLimit, "stop-limit", 30*time.Second, "longest planned stop of an entry with -routed; requests still in flight are aborted", setting.Min(time.Second))
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -15,7 +15,6 @@
 	"github.com/lilackeel/lilackeel/overload"
 	"github.com/lilackeel/lilackeel/site"
 	"github.com/lilackeel/lilackeel/wait"
-	"github.com/lilackeel/lilackeel/workspace"
 )
 
 const (
@@ -27,9 +26,9 @@
 	demandJitter = 0.1
 )
 
-// shedding decides which requests are shed in the pools whose requests are ordered by level, and
-// counts the demand for them. In other pools, nothing is counted and nothing is shed. No other lock
-// is taken while its lock is held.
+// shedding keeps the decision of package overload for the pools whose requests are ordered by level,
+// and counts the demand for them. In other pools, nothing is counted and nothing is shed. No other
+// lock is taken while its lock is held.
 type shedding struct {
 	leastShare float64
 
@@ -116,9 +115,16 @@
 	}
 }
 
-// setSlots sets how many calls this entry may have in flight in a pool; zero if that is not known.
-func (s *shedding) setSlots(pool string, slots int) {
-	s.update(pool, func(p *poolShedding, _ time.Duration) { p.slots = slots })
+// limitSlots records how many calls this entry may have in flight in a pool, zero if that is not
+// known, and returns how many of the slots for requests on time it may use while levels are shed.
+func (s *shedding) limitSlots(pool string, slots, onTime int, holdTime time.Duration) int {
+	s.update(pool, func(p *poolShedding, now time.Duration) {
+		p.slots = slots
+		if limit, limited := p.controller.Slots(p.counter.Demand(now, 0), holdTime); limited {
+			onTime = min(onTime, limit)
+		}
+	})
+	return onTime
 }
 
 // count counts an arrival, and countAdmitted a request that got a slot.
@@ -136,22 +142,32 @@
 	})
 }
 
-// admits reports whether a request may compete for capacity with the other requests on time.
-func (s *shedding) admits(pool string, r *workspace.Request) bool {
-	admitted := true
+// countRefused counts a request that the queue has refused as shed, if its level is not admitted
+// whole.
+func (s *shedding) countRefused(pool string, level int) {
 	s.update(pool, func(p *poolShedding, _ time.Duration) {
-		if admitted = p.controller.Decision().Admits(r.Level, r.Draw); !admitted {
-			p.level(pool, r.Level).shed.Inc()
+		if p.controller.Decision().Fraction(level) < 1 {
+			p.level(pool, level).shed.Inc()
 		}
 	})
-	return admitted
 }
 
-// retryAfter returns when a request may be sent again, at most maxDelay; shed is false if its level
-// is admitted whole.
-func (s *shedding) retryAfter(pool string, r *workspace.Request, maxDelay time.Duration) (delay time.Duration, shed bool) {
+// goesFirst reports whether late requests of a level go before on-time requests of lower-priority
+// levels.
+func (s *shedding) goesFirst(pool string, level int) bool {
+	first := false
+	s.update(pool, func(p *poolShedding, _ time.Duration) {
+		decision := p.controller.Decision()
+		first = decision.Shedding && decision.Fraction(level) == 1
+	})
+	return first
+}
+
+// retryAfter returns when a request of a level may be sent again, at most maxDelay; shed is false if
+// the level is admitted whole.
+func (s *shedding) retryAfter(pool string, level int, maxDelay time.Duration) (delay time.Duration, shed bool) {
 	s.update(pool, func(p *poolShedding, _ time.Duration) {
-		delay, shed = p.controller.RetryAfter(r.Level, r.Draw, maxDelay), p.controller.Decision().Fraction(r.Level) < 1
+		delay, shed = p.controller.RetryAfter(level, rand.Float64(), maxDelay), p.controller.Decision().Fraction(level) < 1
 	})
 	return delay, shed
 }
@@ -170,7 +186,7 @@
 }
 
 // DemandExchange publishes the demand of this entry for the pools whose requests are ordered by
-// level to hosts, and updates the decision which requests are shed from the sums over all entries.
+// level to hosts, and updates the decision which levels are shed from the sums over all entries.
 type DemandExchange struct {
 	name      string
 	admission *AdmissionController
@@ -231,7 +247,7 @@
 // minLevelLogInterval is the minimum time between two log lines about the admitted level of a pool.
 const minLevelLogInterval = time.Second
 
-// update decides anew which requests of a pool are shed.
+// update decides anew which levels of a pool are shed.
 func (x *DemandExchange) update(ctx context.Context, pool string, demand *overload.Demand) {
 	level, former, isLogged := 0, 0, false
 	x.admission.shedding.update(pool, func(p *poolShedding, now time.Duration) {
--- a/entry/late.go
+++ b/entry/late.go
@@ -27,6 +27,9 @@
 	holdTime time.Duration
 	// lowerQueued is the number of queued requests of lower-priority levels.
 	lowerQueued int
+	// allLevels is true if the request goes after the on-time requests of all levels, which then all
+	// count as queued.
+	allLevels bool
 }
 
 // occupancyOf returns the current occupancy of a gate for a request of a level.
@@ -34,7 +37,7 @@
 	load, upTo := gate.Load(), gate.QueuedUpTo(level)
 	lower := max(load.Queued-upTo, 0)
 	load.Queued = upTo
-	return occupancy{load, gate.MeanHoldTime(), lower}
+	return occupancy{Load: load, holdTime: gate.MeanHoldTime(), lowerQueued: lower}
 }
 
 // lateQueues tracks, for each pool, the late requests that wait for a slot, the rate at which
@@ -110,7 +113,7 @@
 func (q *lateQueue) onTimeDemand(level int, load occupancy) float64 {
 	arrived := 0.0
 	for other, count := range q.onTime {
-		if other <= level {
+		if other <= level || load.allLevels {
 			arrived += count
 		}
 	}
@@ -118,8 +121,7 @@
 }
 
 // spareSlots returns how many late requests of a level may start now: the slots that on-time
-// requests of this level and of higher-priority ones neither hold nor will need while a late request
-// holds its slot. While requests of lower-priority levels are queued, the slots that are held are
+// requests that go before it neither hold nor will need while it holds its slot. While requests of lower-priority levels are queued, the slots that are held are
 // spare too: whatever holds them, the next one that is released goes to the late request.
 func (q *lateQueue) spareSlots(level int, load occupancy) float64 {
 	used := math.Floor(q.onTimeDemand(level, load))
--- a/overload/controller.go
+++ b/overload/controller.go
@@ -12,6 +12,10 @@
 	readmitAfter = 500 * time.Millisecond
 	// maxStep bounds the time between two updates for which demand is added to the backlog.
 	maxStep = 2 * time.Second
+	// slotMargin is the factor by which an entry may exceed its share of the slots: the arrivals of
+	// one entry vary by a third within a second. minSlots lets an entry begin that had no demand.
+	slotMargin = 1.5
+	minSlots   = 2
 	// minRetryAfter is the shortest Retry-After of a shed request: the time until the next decision.
 	minRetryAfter = 200 * time.Millisecond
 )
@@ -113,10 +117,23 @@
 	}
 }
 
+// Slots returns how many slots an entry may use, given its own demand and the mean time that its
+// requests hold a slot: its share of the admitted demand of all entries. limited is false if nothing
+// is shed.
+func (c *Controller) Slots(own *Demand, holdTime time.Duration) (slots int, limited bool) {
+	all := c.decision.admitted(&c.demand)
+	if !c.decision.Shedding || all <= 0 {
+		return 0, false
+	}
+	share := min(c.decision.admitted(own)/all, 1)
+	return int(slotMargin*share*c.demand.Capacity*holdTime.Seconds()) + minSlots, true
+}
+
 // RetryAfter returns when a shed request of a level may be sent again: once the requests of its
 // level and of higher-priority ones that were shed have been served at the rate that the arrivals of
-// higher-priority levels leave, but at most maxDelay. The hash spreads the retries.
-func (c *Controller) RetryAfter(level int, hash uint64, maxDelay time.Duration) time.Duration {
+// higher-priority levels leave, but at most maxDelay. spread is a random number from 0 to 1 by which
+// retries differ.
+func (c *Controller) RetryAfter(level int, spread float64, maxDelay time.Duration) time.Duration {
 	level = min(max(level, 0), site.MaxLevel)
 	ahead := 1.0
 	for _, count := range c.backlog[:level+1] {
@@ -133,5 +150,5 @@
 		return maxDelay
 	}
 	wait := max(time.Duration(ahead/rate*float64(time.Second)), minRetryAfter)
-	return min(wait+time.Duration(draw(hash)/2*float64(wait)), maxDelay)
+	return min(wait+time.Duration(spread/2*float64(wait)), maxDelay)
 }
--- a/overload/decide.go
+++ b/overload/decide.go
@@ -73,19 +73,11 @@
 	return d.levels[at].fraction
 }
 
-// Admits reports whether a request is admitted. Equal fractions of the requests of each workspace
-// are. The hash must differ between the attempts of a request: retries count as arrivals, and if all
-// retries of shed requests were shed again, capacity would be left unused (in the simulation of the
-// tests, 0.22 instead of 0.28 of the lowest priority were served in its burst).
-func (d *Decision) Admits(level int, hash uint64) bool {
-	return !d.Shedding || draw(hash) < d.Fraction(level)
-}
-
-// draw maps a hash to a number from 0 to 1. It mixes the hash first with the finalizer of SplitMix64,
-// since the hash may have chosen the pool of the request already.
-func draw(hash uint64) float64 {
-	hash = (hash ^ hash>>30) * 0xbf58476d1ce4e5b9
-	hash = (hash ^ hash>>27) * 0x94d049bb133111eb
-	hash ^= hash >> 31
-	return float64(hash>>11) / (1 << 53)
+// admitted returns the admitted part of a demand in requests per second.
+func (d *Decision) admitted(demand *Demand) float64 {
+	sum := 0.0
+	for _, l := range demand.Levels {
+		sum += l.Arrivals * d.Fraction(l.Level)
+	}
+	return sum
 }
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -108,7 +108,7 @@
 func (x *exchange) admit(ctx context.Context) (release func(), err error) {
 	s, q := x.server, x.request
 	r := workspace.Request{
-		Workspace: q.workspace.GetName(), Priority: -q.priority, Level: q.level, Draw: rand.Uint64(),
+		Workspace: q.workspace.GetName(), Priority: -q.priority, Level: q.level,
 		Deadline: q.deadline, ExpectedTokens: q.work.PromptTokens + q.work.MaxTokens,
 	}
 	if refusal := x.pausedRefusal(); refusal != nil {
--- a/workspace/admission.go
+++ b/workspace/admission.go
@@ -27,8 +27,10 @@
 	queued  int
 	// queuedByLevel counts the queued requests by level if Config.Levels is set.
 	queuedByLevel map[int]int
-	inFlight      int
-	sequence      uint64
+	// leastShares holds the levels with recent requests if Config.LeastShare is set.
+	leastShares map[int]*leastShare
+	inFlight    int
+	sequence    uint64
 
 	// activeWeight and activeShareSlots are sums over the workspaces that are not idle.
 	activeWeight     float64
@@ -69,6 +71,7 @@
 		active:        make(map[string]*workspaceState),
 		entries:       make(map[string]*entry),
 		queuedByLevel: make(map[int]int),
+		leastShares:   make(map[int]*leastShare),
 		byDeficit:     indexedHeap[*workspaceState]{less: lessDeficit, index: func(s *workspaceState) *int { return &s.deficitIndex }},
 		byVirtualTime: indexedHeap[*workspaceState]{less: lessVirtualTime, index: func(s *workspaceState) *int { return &s.virtualTimeIndex }},
 		byQueueLength: indexedHeap[*workspaceState]{less: longerQueue, index: func(s *workspaceState) *int { return &s.queueLengthIndex }},
@@ -135,6 +138,7 @@
 		queueIndex:    notInHeap,
 		deadlineIndex: notInHeap,
 	}
+	a.countAsking(now, e.level)
 	e.latestStart = a.latestStart(e, a.startsAtOnce(now, e))
 	if refusal := a.checkArrival(now, e); refusal != nil {
 		a.updateHeaps(now, s)
--- a/workspace/estimate.go
+++ b/workspace/estimate.go
@@ -191,7 +191,7 @@
 	if rest := float64(needed) - entitledNow; rest > 0 {
 		wait += rest / a.drainRate(now, s)
 	}
-	return seconds(min(wait, a.sharedWait(now, e)))
+	return seconds(min(wait, a.sharedWait(now, e), a.owedWait(now, e)))
 }
 
 // sharedWait returns the time until all queued requests up to the level of e, and one more,
--- a/workspace/levels_test.go
+++ b/workspace/levels_test.go
@@ -119,3 +119,30 @@
 	is.Equal(len(sim.entries)+sim.queued+len(sim.queuedByLevel), 0)
 	is.Equal(len(sim.refusals), 0)
 }
+
+// Guards against a level that starves while requests of higher-priority levels keep the queue full,
+// also in a workspace that has both, and against a least share that is exceeded.
+func TestEachLevelGetsItsLeastShare(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(Config{MaxWait: 300 * time.Millisecond, Levels: true, LeastShare: 0.02}, 10, nil)
+	sim.holdTimeFor = func(string) time.Duration { return 50 * time.Millisecond }
+	levels := map[string]int{}
+	for sim.now < 30*time.Second {
+		for _, r := range []Request{{Workspace: "a", Level: 0}, {Workspace: "a", Level: 4}, {Workspace: "b", Level: 0}, {Workspace: "c", Level: 9}} {
+			for range 4 {
+				if id, _, err := sim.arrive(r); err == nil {
+					levels[id] = r.Level
+				}
+			}
+		}
+		sim.run(sim.now + 20*time.Millisecond)
+	}
+	started := map[int]int{}
+	for id := range sim.startTimes {
+		started[levels[id]]++
+	}
+	total := len(sim.startTimes)
+	for _, level := range []int{4, 9} {
+		is.True(started[level] >= total*15/1000 && started[level] <= total*25/1000)
+	}
+}
--- a/workspace/limits.go
+++ b/workspace/limits.go
@@ -52,6 +52,10 @@
 	// lent without regard to ReclaimWithin, since an idle slot that is reserved for a workspace of a
 	// lower-priority level would delay a higher-priority request. Admission.SetLevels changes it.
 	Levels bool
+	// LeastShare is the share of the granted slots, 0 to 1, that each level gets while it has requests,
+	// whatever is queued of higher-priority levels; half of the slots for all levels together at
+	// most. It has an effect if Levels is set.
+	LeastShare float64
 }
 
 // Defaults of Config.
--- a/workspace/request.go
+++ b/workspace/request.go
@@ -18,10 +18,8 @@
 	// Level is the priority over the requests of all workspaces where Config.Levels is set; lower
 	// goes first, whatever the Priority. Without Config.Levels it has no effect.
 	Level int
-	// Draw is a random number that decides whether the request is shed, and Refused is true if it has
-	// been refused before and asks for other capacity. Both are for the caller of Admission, which
-	// ignores them.
-	Draw    uint64
+	// Refused is true if the request has been refused before and asks for other capacity. It is for
+	// the caller of Admission, which ignores it.
 	Refused bool
 	// MaxWait bounds the time that this request may be queued; 0 means Config.MaxWait,
 	// which is the upper bound in any case.
--- a/workspace/schedule.go
+++ b/workspace/schedule.go
@@ -95,6 +95,10 @@
 // schedule starts queued requests while slots are available to them.
 func (a *Admission) schedule(now time.Duration) {
 	for a.inFlight < a.slots {
+		if e := a.owedRequest(); e != nil {
+			a.grantSlot(now, e)
+			continue
+		}
 		s := a.nextWorkspace(now)
 		if s == nil {
 			return
@@ -158,6 +162,7 @@
 func (a *Admission) grantSlot(now time.Duration, e *entry) {
 	s := e.workspace
 	a.advanceMinVirtualTime()
+	a.creditLevels(now, e)
 	e.chargedTime = a.expectedHoldTime(e)
 	e.chargeRate = 1 / max(a.entitlement(s), minEntitlement)
 	s.virtualTime += e.chargedTime.Seconds() * e.chargeRate
