--- a/entry/admission.go
+++ b/entry/admission.go
@@ -128,7 +128,8 @@
 		slots = 0 // a pool that has stopped is not overloaded by its demand
 	}
 	gate := a.gate(pool)
-	onTime := a.shedding.limitSlots(pool, slots, r.OnTime, gate.MeanHoldTime())
+	holdTime, _ := gate.MeasuredHoldTime()
+	onTime := a.shedding.limitSlots(pool, slots, r.OnTime, holdTime)
 	gate.SetCapacity(onTime + max(r.OtherInFlight-lateHeld, 0))
 }
 
--- a/entry/demand.go
+++ b/entry/demand.go
@@ -116,10 +116,14 @@
 }
 
 // limitSlots records how many calls this entry may have in flight in a pool, zero if that is not
-// known, and returns how many of the slots for requests on time it may use while levels are shed.
+// known, and returns how many of the slots for requests on time it may use while levels are shed. A
+// hold time of zero means that none has been measured; the slots are not limited then.
 func (s *shedding) limitSlots(pool string, slots, onTime int, holdTime time.Duration) int {
 	s.update(pool, func(p *poolShedding, now time.Duration) {
 		p.slots = slots
+		if holdTime <= 0 {
+			return
+		}
 		if limit, limited := p.controller.Slots(p.counter.Demand(now, 0), holdTime); limited {
 			onTime = min(onTime, limit)
 		}
--- a/entry/demand_test.go
+++ b/entry/demand_test.go
@@ -74,6 +74,7 @@
 	exchange()
 	is.Equal(entries[2].slots(), 2)
 	is.Equal(entries[0].slots(), 10)
+	is.Equal(low.shedding.limitSlots("p", 10, 10, 0), 10) // before a hold time is measured
 	is.True(!low.shedding.goesFirst("p", 5))
 	retryAfter := low.lateRefusal("p", &workspace.Request{Level: 5}).RetryAfter
 	is.True(retryAfter > 0 && retryAfter <= 2*time.Second)
--- a/overload/simulation_test.go
+++ b/overload/simulation_test.go
@@ -20,10 +20,10 @@
 	simHoldTime = 1200 * time.Millisecond
 	simMaxWait  = 300 * time.Millisecond
 	// simRate is the demand per entry before the bursts, in requests per second.
-	simRate   = 0.8 * simSlots / 1.2
-	lowest    = 22
-	halfASec  = 500 * time.Millisecond
-	burstTime = 5 * time.Second
+	simRate    = 0.8 * simSlots / 1.2
+	lowest     = 22
+	halfSecond = 500 * time.Millisecond
+	burstTime  = 5 * time.Second
 )
 
 // simulation drives entries and hosts in virtual time.
@@ -141,7 +141,7 @@
 		entry, level = sim.route(entry, level)
 	}
 	r := simRequest{workspace: fmt.Sprint(w), level: level, arrived: now}
-	sim.arrived[now/halfASec][level]++
+	sim.arrived[now/halfSecond][level]++
 	if entry == 0 && level == lowest {
 		sim.atFirst[0]++
 	}
@@ -175,7 +175,7 @@
 	e.counter.Admit(now, r.level)
 	r.id, r.due = id, now+time.Duration(float64(simHoldTime)*(0.5+sim.random.Float64()))
 	e.running = append(e.running, r)
-	sim.served[r.arrived/halfASec][r.level]++
+	sim.served[r.arrived/halfSecond][r.level]++
 	sim.byWorkspace[r.workspace]++
 	if e == sim.entries[0] && r.level == lowest {
 		sim.atFirst[1]++
--- a/workspace/gate.go
+++ b/workspace/gate.go
@@ -100,12 +100,15 @@
 	return g.admission.MeanHoldTime()
 }
 
-// MeasuredHoldTime returns the mean time that requests hold their slots; ok is false if none has been
-// measured.
+// MeasuredHoldTime returns the mean time that requests hold their slots; ok is false, and the mean
+// zero, if none has been measured.
 func (g *Gate) MeasuredHoldTime() (mean time.Duration, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.admission.MeanHoldTime(), g.admission.holdTime.samples > 0
+	if g.admission.holdTime.samples == 0 {
+		return 0, false
+	}
+	return g.admission.MeanHoldTime(), true
 }
 
 // Acquire waits for a slot. On success the caller must call release when the request has
