Merge priorities across workspaces and entries

The most urgent requests were refused more often than the least urgent ones, as a priority ordered the requests of one workspace at one entry only. Levels order them over all workspaces, and entries share their demand through a host, so that each keeps to its share of what the levels above leave. On for pools whose routes have different priorities.

--- a/entry/admission.go
+++ b/entry/admission.go
@@ -32,17 +32,23 @@
 	policy workspace.Config
 
 	lateQueues lateQueues
+	shedding   *shedding
 
 	mu     sync.Mutex
 	gates  map[string]*workspace.Gate
 	limits map[string]workspace.Limits
+	// leveled holds the pools whose requests are ordered by level.
+	leveled map[string]bool
 }
 
 // NewAdmissionController returns the admission controller of one entry of the fleet.
 func NewAdmissionController(cfg Config) *AdmissionController {
-	a := &AdmissionController{peers: max(cfg.Peers, 1), routed: cfg.Routed, gates: map[string]*workspace.Gate{}, limits: map[string]workspace.Limits{}}
+	a := &AdmissionController{
+		peers: max(cfg.Peers, 1), routed: cfg.Routed, shedding: newShedding(cfg.LeastShare),
+		gates: map[string]*workspace.Gate{}, limits: map[string]workspace.Limits{},
+	}
 	if cfg.Routed {
-		a.policy = workspace.Config{MaxWait: cfg.MaxWait, MaxRetryAfter: cfg.MaxRetryAfter}
+		a.policy = workspace.Config{MaxWait: cfg.MaxWait, MaxRetryAfter: cfg.MaxRetryAfter, LeastShare: cfg.LeastShare}
 	}
 	return a
 }
@@ -60,36 +66,94 @@
 // compete with the other requests of the workspaces. If so many are waiting that this one would
 // not get a slot within maxWait, it is refused immediately.
 func (a *AdmissionController) AdmitLate(ctx context.Context, pool string, r workspace.Request, maxWait time.Duration) (func(), error) {
-	refusal := fault.New(fault.Overloaded, "not run: no capacity was left for a request that is already late",
-		"retry after the given time").RetryIn(a.policy.MaxRetryAfter)
 	gate := a.gate(pool)
-	if !a.lateQueues.enqueue(pool, time.Since(processStart), maxWait, occupancyOf(gate)) {
-		return nil, refusal
+	level := a.levelOf(pool, &r)
+	if !r.Refused {
+		a.shedding.count(pool, level)
+	}
+	if !a.lateQueues.enqueue(pool, level, time.Since(processStart), maxWait, a.occupancyFor(pool, gate, level)) {
+		return nil, a.lateRefusal(pool, &r)
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
 	for {
-		if release, ok := a.acquireLateSlot(pool); ok {
-			a.lateQueues.dequeue(pool, time.Since(processStart), true)
+		if release, ok := a.acquireLateSlot(pool, level); ok {
+			a.lateQueues.dequeue(pool, level, time.Since(processStart), true)
+			a.shedding.countAdmitted(pool, level)
 			return release, nil
 		}
-		if a.lateQueues.acquireShared(pool, time.Since(processStart), occupancyOf(gate)) {
+		if load := a.occupancyFor(pool, gate, level); a.lateQueues.acquireShared(pool, level, time.Since(processStart), load) {
 			release, err := a.acquireSharedSlot(ctx, pool, r)
-			a.lateQueues.dequeue(pool, time.Since(processStart), err == nil)
-			return release, err
+			if err == nil || load.lowerQueued == 0 || !fault.Is(err, fault.Overloaded) {
+				a.lateQueues.dequeue(pool, level, time.Since(processStart), err == nil)
+				if err == nil {
+					a.shedding.countAdmitted(pool, level)
+				}
+				return release, err
+			}
 		}
 		wait.For(ctx, latePollInterval)
 		if ctx.Err() != nil {
-			a.lateQueues.dequeue(pool, time.Since(processStart), false)
-			return nil, refusal
+			a.lateQueues.dequeue(pool, level, time.Since(processStart), false)
+			return nil, a.lateRefusal(pool, &r)
 		}
 	}
 }
 
+// occupancyFor returns the current occupancy of a pool as seen by a late request of a level. A late
+// request goes before on-time requests of lower-priority levels only while the pool is overloaded and
+// its own level is admitted whole: as many requests as possible are to be answered on time.
+func (a *AdmissionController) occupancyFor(pool string, gate *workspace.Gate, level int) occupancy {
+	if a.shedding.goesFirst(pool, level) {
+		return occupancyOf(gate, level)
+	}
+	return occupancy{Load: gate.Load(), holdTime: gate.MeanHoldTime(), allLevels: true}
+}
+
+// lateRefusal returns the fault of a late request that got no slot.
+func (a *AdmissionController) lateRefusal(pool string, r *workspace.Request) *fault.Error {
+	retryAfter := a.policy.MaxRetryAfter
+	if delay, shed := a.shedding.retryAfter(pool, r.Level, retryAfter); shed {
+		retryAfter = delay
+	}
+	return fault.New(fault.Overloaded, "not run: no capacity was left for a request that is already late",
+		"retry after the given time").RetryIn(retryAfter)
+}
+
 // SetPoolCapacity implements routed.CapacitySetter.
 func (a *AdmissionController) SetPoolCapacity(pool string, r routed.PoolCapacity) {
 	lateHeld := a.lateQueues.setCapacity(pool, time.Since(processStart), r)
-	a.gate(pool).SetCapacity(r.OnTime + max(r.OtherInFlight-lateHeld, 0))
+	slots := r.OnTime + r.Deferred + r.LateSlots + r.OtherInFlight
+	if r.AfterReopen > 0 {
+		slots = 0 // a pool that has stopped is not overloaded by its demand
+	}
+	gate := a.gate(pool)
+	holdTime, _ := gate.MeasuredHoldTime()
+	onTime := a.shedding.limitSlots(pool, slots, r.OnTime, holdTime)
+	gate.SetCapacity(onTime + max(r.OtherInFlight-lateHeld, 0))
+}
+
+// SetLevels sets the pools whose requests are ordered by level over all workspaces. In the others,
+// levels have no effect.
+func (a *AdmissionController) SetLevels(leveled map[string]bool) {
+	a.mu.Lock()
+	a.leveled = leveled
+	gates := maps.Clone(a.gates)
+	a.mu.Unlock()
+	a.shedding.setPools(leveled)
+	for pool, gate := range gates {
+		gate.SetLevels(leveled[pool])
+	}
+}
+
+// levelOf returns the level by which a request is ordered in a pool.
+func (a *AdmissionController) levelOf(pool string, r *workspace.Request) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.leveled[pool] {
+		return r.Level
+	}
+	return 0
 }
 
 // MeanHoldTime implements HoldTimes.
@@ -99,8 +163,8 @@
 
 // acquireLateSlot takes a slot of a lock-step group that is behind its step rate, if one is free.
 // It returns the function that releases the slot.
-func (a *AdmissionController) acquireLateSlot(pool string) (func(), bool) {
-	if !a.lateQueues.acquireLate(pool, time.Since(processStart)) {
+func (a *AdmissionController) acquireLateSlot(pool string, level int) (func(), bool) {
+	if !a.lateQueues.acquireLate(pool, level, time.Since(processStart)) {
 		return nil, false
 	}
 	return sync.OnceFunc(func() { a.lateQueues.releaseLate(pool, time.Since(processStart)) }), true
@@ -123,8 +187,17 @@
 
 // AdmitOnTime implements routed.Admitter.
 func (a *AdmissionController) AdmitOnTime(ctx context.Context, pool string, r workspace.Request) (func(), error) {
-	a.lateQueues.countOnTime(pool, time.Since(processStart))
-	return a.acquire(ctx, pool, r)
+	level := a.levelOf(pool, &r)
+	a.shedding.count(pool, level)
+	a.lateQueues.countOnTime(pool, level, time.Since(processStart))
+	release, err := a.acquire(ctx, pool, r)
+	switch {
+	case err == nil:
+		a.shedding.countAdmitted(pool, level)
+	case fault.Is(err, fault.Overloaded):
+		a.shedding.countRefused(pool, level)
+	}
+	return release, err
 }
 
 func (a *AdmissionController) acquire(ctx context.Context, pool string, r workspace.Request) (func(), error) {
@@ -142,7 +215,9 @@
 	defer a.mu.Unlock()
 	gate, ok := a.gates[pool]
 	if !ok {
-		gate = workspace.NewGate(workspace.NewAdmission(a.policy), func() time.Duration { return time.Since(processStart) })
+		policy := a.policy
+		policy.Levels = a.leveled[pool]
+		gate = workspace.NewGate(workspace.NewAdmission(policy), func() time.Duration { return time.Since(processStart) })
 		gate.Configure(maps.Clone(a.limits))
 		a.gates[pool] = gate
 	}
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -108,7 +108,8 @@
 func (x *exchange) admit(ctx context.Context) (release func(), err error) {
 	s, q := x.server, x.request
 	r := workspace.Request{
-		Workspace: q.workspace.GetName(), Priority: -q.priority, Deadline: q.deadline, ExpectedTokens: q.work.PromptTokens + q.work.MaxTokens,
+		Workspace: q.workspace.GetName(), Priority: -q.priority, Level: q.level,
+		Deadline: q.deadline, ExpectedTokens: q.work.PromptTokens + q.work.MaxTokens,
 	}
 	if refusal := x.pausedRefusal(); refusal != nil {
 		return nil, refusal
@@ -119,6 +120,7 @@
 		if err == nil || !fault.Is(err, fault.Overloaded) {
 			return release, err
 		}
+		r.Refused = true
 	}
 	// The time spent waiting for the first site counts.
 	left := q.lateQueueWait() - (s.clock() - q.arrived)
@@ -228,6 +230,9 @@
 	if q.workspace != nil {
 		setNamed(header, names.Workspace, q.workspace.GetName())
 	}
+	if q.engineRank != "" {
+		setNamed(header, names.Priority, q.engineRank)
+	}
 	if last, ok := x.splitter.LastID(); ok {
 		header.Set(headerLastEvent, strconv.FormatInt(last, 10))
 	} else if given := q.header.Values(headerLastEvent); len(given) > 0 {
@@ -301,7 +306,7 @@
 	}
 	s.Logger.LogAttrs(x.callerCtx, slog.LevelInfo, "ended a request",
 		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint), slog.String("route", q.route.GetName()), slog.Uint64("version", q.siteVersion),
-		slog.String("workspace", q.workspace.GetName()), slog.String("pool", q.pool), slog.String("endpoint", x.target.ID),
+		slog.String("workspace", q.workspace.GetName()), slog.String("pool", q.pool), slog.Int("priority_level", q.level), slog.String("endpoint", x.target.ID),
 		slog.Int("attempts", len(x.tried)), slog.String("outcome", x.outcome), slog.Int("status", status),
 		slog.Duration("placed", x.admissionTime), slog.Duration("first", x.timeToFirstChunk), slog.Duration("longest_pause", x.longestGap),
 		slog.Duration("took", took), slog.Duration("left", q.deadline-s.clock()),
--- a/workspace/admission.go
+++ b/workspace/admission.go
@@ -23,10 +23,14 @@
 	// active holds the workspaces that have requests or had some recently.
 	active map[string]*workspaceState
 	// entries holds the requests that are queued or in flight.
-	entries  map[string]*entry
-	queued   int
-	inFlight int
-	sequence uint64
+	entries map[string]*entry
+	queued  int
+	// queuedByLevel counts the queued requests by level if Config.Levels is set.
+	queuedByLevel map[int]int
+	// leastShares holds the levels with recent requests if Config.LeastShare is set.
+	leastShares map[int]*leastShare
+	inFlight    int
+	sequence    uint64
 
 	// activeWeight and activeShareSlots are sums over the workspaces that are not idle.
 	activeWeight     float64
@@ -66,6 +70,8 @@
 		limits:        make(map[string]Limits),
 		active:        make(map[string]*workspaceState),
 		entries:       make(map[string]*entry),
+		queuedByLevel: make(map[int]int),
+		leastShares:   make(map[int]*leastShare),
 		byDeficit:     indexedHeap[*workspaceState]{less: lessDeficit, index: func(s *workspaceState) *int { return &s.deficitIndex }},
 		byVirtualTime: indexedHeap[*workspaceState]{less: lessVirtualTime, index: func(s *workspaceState) *int { return &s.virtualTimeIndex }},
 		byQueueLength: indexedHeap[*workspaceState]{less: longerQueue, index: func(s *workspaceState) *int { return &s.queueLengthIndex }},
@@ -127,10 +133,12 @@
 	e := &entry{
 		request:       r,
 		workspace:     s,
+		level:         a.levelOf(&r),
 		arrived:       now,
 		queueIndex:    notInHeap,
 		deadlineIndex: notInHeap,
 	}
+	a.countAsking(now, e.level)
 	e.latestStart = a.latestStart(e, a.startsAtOnce(now, e))
 	if refusal := a.checkArrival(now, e); refusal != nil {
 		a.updateHeaps(now, s)
--- a/workspace/gate.go
+++ b/workspace/gate.go
@@ -74,6 +74,19 @@
 	g.update(func(now time.Duration) { g.admission.SetCapacity(now, slots) })
 }
 
+// SetLevels turns the order by level on or off, see Config.Levels.
+func (g *Gate) SetLevels(on bool) {
+	g.update(func(now time.Duration) { g.admission.SetLevels(now, on) })
+}
+
+// QueuedUpTo returns how many requests of a level and of higher-priority ones are queued; where
+// levels are off, all that are queued.
+func (g *Gate) QueuedUpTo(level int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.admission.queuedUpTo(level)
+}
+
 func (g *Gate) Load() Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -87,6 +100,17 @@
 	return g.admission.MeanHoldTime()
 }
 
+// MeasuredHoldTime returns the mean time that requests hold their slots; ok is false, and the mean
+// zero, if none has been measured.
+func (g *Gate) MeasuredHoldTime() (mean time.Duration, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.admission.holdTime.samples == 0 {
+		return 0, false
+	}
+	return g.admission.MeanHoldTime(), true
+}
+
 // Acquire waits for a slot. On success the caller must call release when the request has
 // ended; only the first call has an effect. An error is a *fault.Error and means that the
 // request has not run. An empty ID is generated; a zero Deadline is taken from ctx.
