link/replicas: a replica that does not know the leader's address ends no search

A replica that has lost its disk knows the leader's id before its address, and named an empty address. The caller took that for a further replica and stopped there at each later call: its announcements and leases ended, and without the announcement of every rank the map of a group is not switched.

The search goes on with the next replica. The test fails without it.

--- a/fault/leader.go
+++ b/fault/leader.go
@@ -16,11 +16,12 @@
 }
 
 // LeaderAddr returns the address stated by a fault from NewNotLeader; ok is false for other
-// errors.
+// errors, and for a replica that knows the leader but not its address.
 func LeaderAddr(err error) (addr string, ok bool) {
 	typed := As(err)
 	if typed == nil || typed.Kind != NotLeader {
 		return "", false
 	}
-	return strings.CutPrefix(typed.Remedy, leaderRemedyPrefix)
+	addr, ok = strings.CutPrefix(typed.Remedy, leaderRemedyPrefix)
+	return addr, ok && addr != ""
 }
--- a/link/replicas/finder_test.go
+++ b/link/replicas/finder_test.go
@@ -64,3 +64,21 @@
 		return err
 	}))
 }
+
+// TestFinderPassesOverReplicaWithoutLeaderAddress guards against a process that never calls a
+// control replica again after one of them, which had lost its disk, knew the id of the leader but
+// not its address yet.
+func TestFinderPassesOverReplicaWithoutLeaderAddress(t *testing.T) {
+	is := is.New(t)
+	joining := serve(t, &replica{err: fault.NewNotLeader(4, "")})
+	leader := serve(t, &replica{})
+	options, err := link.DialOptions(link.Config{Insecure: true})
+	is.NoErr(err)
+	pool := link.NewPool(options...)
+	defer func() { _ = pool.Close() }()
+	finder := &Finder{pool: pool, cursor: NewCursor([]string{joining, leader}, 0)}
+	is.NoErr(finder.Call(t.Context(), func(ctx context.Context, client controlv1.ControlClient) error {
+		_, err := client.Announce(ctx, &controlv1.AnnounceRequest{})
+		return err
+	}))
+}
