e2e: the cut from control cannot be bypassed by learnt addresses

Cause: the test cut the daemons' own lists of control addresses. Since the feed tells daemons the addresses that the replicas know each other by, a daemon that leaves its stale source after a second goes on directly to a replica. The "cut off" daemons learnt both leaves some 0.8 s after the cut (both entries served revision 5, the second leave), and not at the same time: a probe through the entry that knew was refused while calls through the other, which did not, rightly ran at an agent whose knowledge was younger than 2.5 s. The gate was not at fault, and the test did not test a cut. The check "refused once through one entry, so refused everywhere" was never promised either.

Change: the forwarders are at the replicas' own addresses and cut by the process that dialed. In place of the probe there is the promised bound: no call that is sent later than the gate's freshness limit after the cut runs, through either entry, and nothing runs at the first endpoint after its agent has applied the leave. The test also checks that neither agent got the withheld revision and that both entries were refused as stale.

--- a/e2e/cut_test.go
+++ b/e2e/cut_test.go
@@ -16,6 +16,7 @@
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/gate"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/proof"
 	"github.com/lilackeel/lilackeel/standin/caller"
@@ -123,9 +124,14 @@
 	return nil
 }
 
-// Entries and the agent of a leaving endpoint are partitioned from the control replicas without
-// a connection error, first the entries alone and then all of them. The endpoint must get no
-// new work. Once no daemon's configuration is fresh, calls must not run.
+// Entries and the agents of leaving endpoints are partitioned from the control replicas without a
+// connection error, first the entries alone and then all of them. An endpoint must get no new work
+// once its agent knows of its leave, and no call may run once the last confirmation that any daemon
+// can have is older than the gate's freshness limit.
+//
+// The forwarders are at the addresses that the replicas know each other by. Daemons learn these
+// addresses from the configuration feed and use them when a source of their own list goes stale, so
+// that a partition of the listed addresses alone would be bypassed after a second.
 func TestCutFromControlClosesGate(t *testing.T) {
 	proof.Cell{Promise: proof.Leaving, Faults: []proof.Fault{proof.FullPartition}, Step: "entries, then agents and entries, partitioned from control during a leave", Combined: true, SeparateProcesses: true,
 		Guard: "the gate's refusals for endpoints that are not serving, and on a stale configuration, each alone"}.Log(t)
@@ -133,53 +139,55 @@
 		Guard: "the gate's refusal on a stale configuration"}.Log(t)
 	is := is.New(t)
 	s := newStoppedSite(t, replicas)
-	forwarders := map[string][]*forwarder{}
+	var forwarders []*forwarder
+	forwarders, s.peerAddrs = startForwarders(t, s.controlAddrs)
 	for i := range hosts {
-		for _, name := range []string{fmt.Sprintf("entry-%d", i), fmt.Sprintf("agent-%d", i)} {
-			forwarders[name], s.controlAddrsFor[name] = startForwarders(t, s.controlAddrs)
-		}
+		s.controlAddrsFor[fmt.Sprintf("entry-%d", i)] = s.peerAddrs
+		s.controlAddrsFor[fmt.Sprintf("agent-%d", i)] = s.peerAddrs
 	}
 	s.startAll(t)
 	c := s.caller()
-	cutOff := func(names ...string) {
-		for _, name := range names {
-			for _, f := range forwarders[name] {
-				f.partition(anyProcess, fullPartition)
+	cutOff := func(daemons []*process) {
+		for _, daemon := range daemons {
+			for _, f := range forwarders {
+				f.partition(daemon.cmd.Process.Pid, fullPartition)
 			}
 		}
 	}
-	cutOff("entry-0", "entry-1")
+	cutOff(s.entryProcs)
 	revision := s.acceptIntent(t, leaveIntent("leave-0", "desk-0"))
 	eventually(t, "the agent applies the leave", func() error { return s.daemonAtRevision(t, "agent-0", revision) })
 	before := s.listEffects(t, 0, notesPath)
 	is.Equal(s.sendNotes(c, "entries"), 0) // every call got an outcome
 	is.Equal(s.listEffects(t, 0, notesPath), before)
 
-	cutOff("agent-0", "agent-1")
-	s.acceptIntent(t, leaveIntent("leave-1", "desk-1"))
-	eventually(t, "calls are refused", func() error {
-		result, err := c.Call(t.Context(), 0, http.MethodPut, notesPath, []byte("probe"), "")
-		if err != nil || result.Outcome != outcomeNotRun {
-			return fmt.Errorf("%v, outcome %q", err, result.Outcome)
-		}
-		return nil
-	})
+	cutOff(s.agentProcs)
+	cutAt := time.Now()
+	withheld := s.acceptIntent(t, leaveIntent("leave-1", "desk-1"))
+	for i := 0; time.Since(cutAt) <= gate.DefaultLimits().Freshness; i++ { // calls may still run
+		_, err := c.Call(t.Context(), i, http.MethodPut, notesPath, []byte("probe"), "")
+		is.NoErr(err)
+		time.Sleep(20 * time.Millisecond)
+	}
 	var ran [hosts][]byte
 	for i := range ran {
 		ran[i] = s.listEffects(t, i, notesPath)
 	}
+	is.Equal(ran[0], before)
 	is.Equal(s.sendNotes(c, "all"), 0)
 	for i := range ran {
 		is.Equal(s.listEffects(t, i, notesPath), ran[i]) // refused, not run
 	}
+	for i := range hosts { // the partition held, and it was an agent that refused
+		is.True(s.readMetric(t, s.agentAdminAddrs[i], "lilackeel_agent_configuration_revision") != fmt.Sprint(withheld))
+		is.True(s.readMetric(t, s.entryAdminAddrs[i], `lilackeel_entry_agent_refusals_total{kind="stale"}`) != "")
+	}
 	call := &nonIdempotentCall{body: "closed.", key: caller.NewKey()}
 	call.send(c, 0)
 	call.check(t, s.runCount(t, call.body))
 	is.True(len(call.results) == 1 && call.results[0].Outcome == outcomeNotRun)
-	for _, group := range forwarders {
-		for _, f := range group {
-			f.heal()
-		}
+	for _, f := range forwarders {
+		f.heal()
 	}
 	s.acceptIntent(t, &controlv1.Intent{Id: "back", Operator: "e2e", Endpoints: []*controlv1.EndpointChange{
 		{Id: "desk-1", State: fleetv1.EndpointState_ENDPOINT_STATE_SERVING},
--- a/e2e/forwarder_test.go
+++ b/e2e/forwarder_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -30,7 +32,9 @@
 // forwardedConn is a forwarded connection: client is the side that dialed, server the target.
 type forwardedConn struct {
 	client, server net.Conn
-	blocked        partition
+	// inode is that of the dialing process's socket.
+	inode   string
+	blocked partition
 }
 
 // startForwarders starts a forwarder for each target.
@@ -55,23 +59,29 @@
 		if err != nil {
 			return
 		}
-		server, err := net.Dial("tcp", f.target)
-		if err != nil {
-			_ = client.Close()
-			continue
-		}
-		c := &forwardedConn{client: client, server: server}
-		f.mu.Lock()
-		f.connections[c] = true
-		for pid, p := range f.partitions {
-			c.blockIfDialedBy(pid, p)
-		}
-		f.mu.Unlock()
-		go f.pump(server, client, func() bool { return c.blocked.up })
-		go f.pump(client, server, func() bool { return c.blocked.down })
+		go f.connect(client)
 	}
 }
 
+// connect connects an accepted connection to the target. Nothing is forwarded on it before the
+// partition of the process that dialed it applies.
+func (f *forwarder) connect(client net.Conn) {
+	server, err := net.Dial("tcp", f.target)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	c := &forwardedConn{client: client, server: server, inode: socketInode(client)}
+	f.mu.Lock()
+	f.connections[c] = true
+	for pid, p := range f.partitions {
+		blockDialedBy(pid, p, c)
+	}
+	f.mu.Unlock()
+	go f.pump(server, client, func() bool { return c.blocked.up })
+	go f.pump(client, server, func() bool { return c.blocked.down })
+}
+
 // pump copies one direction of a connection while it is not blocked.
 func (f *forwarder) pump(to, from net.Conn, blocked func() bool) {
 	buffer := make([]byte, 32<<10)
@@ -94,9 +104,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.partitions[pid] = p
-	for connection := range f.connections {
-		connection.blockIfDialedBy(pid, p)
-	}
+	blockDialedBy(pid, p, slices.Collect(maps.Keys(f.connections))...)
 }
 
 // reset closes all connections.
@@ -120,27 +128,45 @@
 	f.changed.Broadcast()
 }
 
-// blockIfDialedBy blocks the connection if the process dialed it.
-func (c *forwardedConn) blockIfDialedBy(pid int, p partition) {
-	if pid == anyProcess || dialedBy(pid, c.client.RemoteAddr().(*net.TCPAddr).Port) {
-		c.blocked = p
+// blockDialedBy blocks those of the connections that the process dialed.
+func blockDialedBy(pid int, p partition, connections ...*forwardedConn) {
+	var dialed map[string]bool
+	if pid != anyProcess {
+		dialed = openSockets(pid)
+	}
+	for _, c := range connections {
+		if pid == anyProcess || dialed[c.inode] {
+			c.blocked = p
+		}
 	}
 }
 
-// dialedBy reports whether the process has a socket with the local port.
-func dialedBy(pid, port int) bool {
-	table, _ := os.ReadFile("/proc/net/tcp")
+// openSockets returns the inodes of the process's sockets.
+func openSockets(pid int) map[string]bool {
+	inodes := map[string]bool{}
 	descriptors, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	for _, d := range descriptors {
+		link, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", pid, d.Name()))
+		if inode, found := strings.CutPrefix(link, "socket:["); found {
+			inodes[strings.TrimSuffix(inode, "]")] = true
+		}
+	}
+	return inodes
+}
+
+// socketInode returns the inode of the socket that dialed an accepted connection. Both of its ports
+// identify it: the system gives the same local port to several connections if their remote ports
+// differ. It reads the system's table, which takes long while other tests have thousands of sockets
+// open, and so must not be called with a lock held.
+func socketInode(accepted net.Conn) string {
+	hexPort := func(address net.Addr) string { return fmt.Sprintf(":%04X", address.(*net.TCPAddr).Port) }
+	local, remote := hexPort(accepted.RemoteAddr()), hexPort(accepted.LocalAddr())
+	table, _ := os.ReadFile("/proc/net/tcp")
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line)
-		if len(fields) < 10 || !strings.HasSuffix(fields[1], fmt.Sprintf(":%04X", port)) {
-			continue
-		}
-		for _, d := range descriptors {
-			if link, _ := os.Readlink(fmt.Sprintf("/proc/%d/fd/%s", pid, d.Name())); link == "socket:["+fields[9]+"]" {
-				return true
-			}
+		if len(fields) >= 10 && strings.HasSuffix(fields[1], local) && strings.HasSuffix(fields[2], remote) {
+			return fields[9]
 		}
 	}
-	return false
+	return ""
 }
