--- a/measure/overhead/fleet.go
+++ b/measure/overhead/fleet.go
@@ -61,6 +61,9 @@
 	// PollInterval is the interval at which the agent polls each engine. If it is
 	// zero, the total rate of polls is at most that of a host in production.
 	PollInterval time.Duration
+	// Freshness is the maximum age of the configuration's last confirmation for the
+	// agent to admit calls; zero means the agent's default.
+	Freshness time.Duration
 	// DataDir, if set, is the directory for the logs of three real control
 	// replicas; without it the control state is in memory and not replicated.
 	DataDir string
@@ -170,6 +173,9 @@
 	settings.Listen = "127.0.0.1:0"
 	settings.Control, settings.Feed = control, control
 	settings.Limits = gate.DefaultLimits()
+	if cfg.Freshness > 0 {
+		settings.Limits.Freshness = cfg.Freshness
+	}
 	settings.PollInterval = pollInterval(cfg)
 	for i := range max(cfg.Endpoints, 1) {
 		settings.Endpoints = append(settings.Endpoints, agent.Endpoint{
