entry: TestPausedPool compares turns, not rounded delays

Cause: the test required that no Retry-After is smaller than the one before. It also tested no spreading: the turns were 66 us apart.

Change: the test reads the delay in milliseconds from the body, of which the header must be the rounded value, and bounds the turn by the times of the request and the answer. No turn lies before the end of the pause, and turn i lies at least i times the schedule's spacing after the first; the endpoints have one slot so that this is at least 11 ms over the ten requests. That the last request waited is shown by its answer after the end of the pause, not by its own duration.

--- a/entry/pushback_test.go
+++ b/entry/pushback_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -19,6 +20,7 @@
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/fault"
@@ -120,8 +122,9 @@
 	is.True(rejected.Load() <= maxRequestsInPause)
 }
 
-// request sends one request and returns the status, the Retry-After in seconds and the time taken.
-func (f *routedFleet) request(entry int) (status int, retryAfter float64, took time.Duration) {
+// request sends one request and returns the status, the delay before a retry according to the body,
+// and the time taken. The Retry-After header must state that delay rounded up to whole seconds.
+func (f *routedFleet) request(entry int) (status int, retryAfter, took time.Duration) {
 	f.t.Helper()
 	r, err := http.NewRequest(http.MethodGet, f.entries[entry].URL+"/read/x", nil)
 	if err != nil {
@@ -133,10 +136,19 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
+	text, _ := io.ReadAll(response.Body)
 	_ = response.Body.Close()
-	retryAfter, _ = strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
-	return response.StatusCode, retryAfter, time.Since(startedAt)
+	took = time.Since(startedAt)
+	var body call.ErrorBody
+	if response.StatusCode != http.StatusOK && json.Unmarshal(text, &body) != nil {
+		f.t.Errorf("the body of status %d is not an error: %s", response.StatusCode, text)
+	}
+	retryAfter = time.Duration(body.Error.RetryAfterMS) * time.Millisecond
+	seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if rounded := time.Duration(seconds * float64(time.Second)); rounded < retryAfter || rounded > retryAfter+time.Second {
+		f.t.Errorf("Retry-After is %v, the body says %v", rounded, retryAfter)
+	}
+	return response.StatusCode, retryAfter, took
 }
 
 // Covers a pool in which all endpoints have requested a pause. No request may be sent to it. A
@@ -145,23 +157,42 @@
 func TestPausedPool(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
+	const requests = 10
 	f := newRoutedFleet(t, 2, 0)
+	for _, e := range f.delta.GetEndpoints() {
+		e.Slots = 1 // turns are further apart than a refusal takes
+	}
 	f.startEntry(0.01)
+	f.request(0) // the entry knows for how long a request holds a slot
 	for _, s := range f.services {
 		s.SetFaults(standin.Faults{RetryAfter: "3"})
 	}
 	startedAt := time.Now()
 	f.request(0) // both endpoints are tried and request the pause
-	previous := 0.0
-	for range 10 {
-		remaining := requestedPause - time.Since(startedAt)
+	// spacing returns the time between two turns. It shrinks once more if the slot of the first request
+	// is freed after its answer.
+	spacing := func() time.Duration {
+		_, rate := f.configurers[0].reports.limits.earliestReopening(time.Since(processStart), "pool")
+		return time.Duration(float64(time.Second) / rate)
+	}
+	step := spacing()
+	lastTurn := startedAt.Add(requestedPause + maxRetryAfter)
+	var first time.Time
+	for i := range requests {
+		sentAt := time.Now()
 		status, retryAfter, took := f.request(0)
 		is.Equal(status, http.StatusServiceUnavailable)
-		is.True(took < 200*time.Millisecond)           // immediately
-		is.True(retryAfter >= remaining.Seconds()-0.1) // not before the pause ends
-		is.True(retryAfter >= previous)                // retries are spread out
-		previous = retryAfter
+		is.True(took < 200*time.Millisecond) // immediately
+		// The turn that the entry gave lies between these two; a delay is rounded down to 1 ms.
+		earliest, latest := sentAt.Add(retryAfter), sentAt.Add(took+retryAfter+time.Millisecond)
+		is.True(latest.Sub(startedAt) >= requestedPause) // not before the pause ends
+		if i == 0 {
+			first = earliest
+		}
+		step = min(step, spacing())
+		is.True(latest.Sub(first) >= time.Duration(i)*step || !latest.Before(lastTurn)) // retries are spread out
 	}
+	is.True((requests-1)*step >= 10*time.Millisecond) // much longer than a refusal takes
 	for _, s := range f.services {
 		is.True(s.MaxArrivals(startedAt.Add(pauseGrace), requestedPause) <= maxRequestsInPause)
 		s.SetFaults(standin.Faults{})
@@ -170,7 +201,7 @@
 	status, _, took := f.request(0)
 	t.Logf("answered with %d after %v near the end of the pause", status, took)
 	is.Equal(status, http.StatusOK)
-	is.True(took > 200*time.Millisecond) // it waited
+	is.True(time.Since(startedAt) >= requestedPause) // it waited
 }
 
 // Guards against a pause that outlives the process that requested it.
--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -39,6 +39,10 @@
 	served, refused, other atomic.Int64
 }
 
+// maxRetryAfter is how long after the end of a pause the entries ask refused callers to retry at the
+// latest.
+const maxRetryAfter = time.Second
+
 func newRoutedFleet(t *testing.T, services, hosts int) *routedFleet {
 	f := &routedFleet{t: t}
 	split := []*fleetv1.Split{{Pool: "pool", Weight: 1}}
@@ -90,7 +94,7 @@
 	d, err := New(Config{
 		Name: fmt.Sprint("entry-", len(f.entries)), Zone: "a", Listen: "127.0.0.1:0", Feed: []string{"127.0.0.1:1"}, Control: []string{"127.0.0.1:1"},
 		Routed: true, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10, BodyTimeout: time.Second, WriteTimeout: time.Second, MaxBufferedBytes: 64 << 10,
-		RetryAfter: 250 * time.Millisecond, RetryRatio: 0.1, RetryBurst: 10, MaxWait: 300 * time.Millisecond, MaxRetryAfter: time.Second,
+		RetryAfter: 250 * time.Millisecond, RetryRatio: 0.1, RetryBurst: 10, MaxWait: 300 * time.Millisecond, MaxRetryAfter: maxRetryAfter,
 		ReportInterval: 20 * time.Millisecond, Peers: 1, Link: link.Config{},
 	}, slog.New(slog.DiscardHandler))
 	if err != nil {
