control, measure: replicas serve on listeners that are handed over

Cause of TestSmallRun's failure, and of tests of package control that wait for a leader in vain: the harnesses looked for free ports, closed them and let the replicas listen later, once their logs were open. A port that is taken meanwhile, by a listener or just by an outgoing connection of another process, costs the cluster one replica, and a new cluster with two of three replicas elects no leader within the 10 s that the measurement waits. That a port was lost in the recorded failure itself cannot be shown any more.

Change: control.Daemon.UseListener; the clusters of packages fanout and overhead and of the tests of control open all listeners first and keep them.

--- a/control/daemon.go
+++ b/control/daemon.go
@@ -69,6 +69,10 @@
 	return listener.Addr().String(), nil
 }
 
+// UseListener makes Run serve on an open listener in place of the configured address. A process that
+// must know the addresses of several replicas before it starts them can thus keep their ports.
+func (d *Daemon) UseListener(listener net.Listener) { d.listener = listener }
+
 // Run serves until ctx ends or the log fails permanently. When ctx ends it shuts down
 // gracefully: it becomes not ready, transfers its leadership, lets the calls in flight finish
 // and returns.
--- a/control/daemon_test.go
+++ b/control/daemon_test.go
@@ -22,6 +22,7 @@
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/proof"
 )
 
@@ -119,16 +120,15 @@
 func startCluster(t *testing.T, n int) []*testReplica {
 	t.Helper()
 	is := is.New(t)
-	peers := map[uint64]string{}
+	peers, listeners := map[uint64]string{}, map[uint64]net.Listener{}
 	for id := uint64(1); id <= uint64(n); id++ {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := link.Listen(t.Context(), "127.0.0.1:0")
 		is.NoErr(err)
-		peers[id] = listener.Addr().String()
-		is.NoErr(listener.Close())
+		peers[id], listeners[id] = listener.Addr().String(), listener
 	}
 	var replicas []*testReplica
 	for id := uint64(1); id <= uint64(n); id++ {
-		replicas = append(replicas, startReplica(t, &Settings{
+		replicas = append(replicas, startReplica(t, listeners[id], &Settings{
 			ID: id, Host: fmt.Sprint("control-", id), Listen: peers[id], Peers: peers, DataDir: t.TempDir(),
 			ElectionTimeout: 300 * time.Millisecond, HeartbeatInterval: 50 * time.Millisecond,
 			SnapshotEvery: 1000, Lease: 2 * time.Second, ReadInterval: 50 * time.Millisecond,
@@ -138,10 +138,11 @@
 	return replicas
 }
 
-func startReplica(t *testing.T, settings *Settings) *testReplica {
+func startReplica(t *testing.T, listener net.Listener, settings *Settings) *testReplica {
 	t.Helper()
 	daemon, err := New(settings, slog.New(slog.DiscardHandler))
 	is.New(t).NoErr(err)
+	daemon.UseListener(listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/measure/fanout/cluster.go
+++ b/measure/fanout/cluster.go
@@ -74,34 +74,43 @@
 		return nil, err
 	}
 	c := &cluster{pool: link.NewPool(options...)}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
 	var peers []string
+	var listeners []net.Listener
 	for id := 1; id <= replicas; id++ {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := link.Listen(ctx, "127.0.0.1:0")
 		if err != nil {
-			return nil, err
+			c.stop()
+			return nil, errors.Join(err, closeAll(listeners))
 		}
+		listeners = append(listeners, listener)
 		c.addrs = append(c.addrs, listener.Addr().String())
 		peers = append(peers, fmt.Sprintf("%d=%s", id, listener.Addr()))
-		if err := listener.Close(); err != nil {
-			return nil, err
-		}
 	}
-	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
-	for id, addr := range c.addrs {
-		if err := c.startReplica(ctx, id+1, addr, peers, dir); err != nil {
+	for i, listener := range listeners {
+		if err := c.startReplica(ctx, i+1, listener, peers, dir); err != nil {
 			c.stop()
-			return nil, err
+			return nil, errors.Join(err, closeAll(listeners[i:]))
 		}
 	}
 	return c, nil
 }
 
-func (c *cluster) startReplica(ctx context.Context, id int, addr string, peers []string, dir string) error {
+func closeAll(listeners []net.Listener) error {
+	var failed error
+	for _, listener := range listeners {
+		failed = errors.Join(failed, listener.Close())
+	}
+	return failed
+}
+
+// startReplica starts a replica that serves on the listener.
+func (c *cluster) startReplica(ctx context.Context, id int, listener net.Listener, peers []string, dir string) error {
 	var settings control.Settings
 	set := setting.New("lilackeel-control")
 	settings.Register(set)
-	args := []string{"-id", fmt.Sprint(id), "-listen", addr, "-data-dir", filepath.Join(dir, fmt.Sprint(id))}
+	args := []string{"-id", fmt.Sprint(id), "-listen", listener.Addr().String(), "-data-dir", filepath.Join(dir, fmt.Sprint(id))}
 	for _, peer := range peers {
 		args = append(args, "-peers", peer)
 	}
@@ -112,6 +121,7 @@
 	if err != nil {
 		return err
 	}
+	daemon.UseListener(listener)
 	c.group.Go(func() { c.runReplica(ctx, daemon) })
 	return nil
 }
--- a/measure/overhead/cluster.go
+++ b/measure/overhead/cluster.go
@@ -32,39 +32,36 @@
 		return nil, err
 	}
 	c := &cluster{pool: link.NewPool(options...)}
-	peers := map[uint64]string{}
-	for id := range uint64(replicas) {
-		addr, err := freeAddress()
+	peers, listeners := map[uint64]string{}, map[uint64]net.Listener{}
+	defer func() { // those that no replica serves on
+		for _, listener := range listeners {
+			_ = listener.Close()
+		}
+	}()
+	for id := uint64(1); id <= replicas; id++ {
+		listener, err := link.Listen(context.Background(), "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		peers[id+1] = addr
-		c.addresses = append(c.addresses, addr)
+		listeners[id], peers[id] = listener, listener.Addr().String()
+		c.addresses = append(c.addresses, peers[id])
 	}
-	for id, addr := range peers {
-		if err := c.startReplica(id, addr, peers, dir); err != nil {
+	for id := uint64(1); id <= replicas; id++ {
+		if err := c.startReplica(id, listeners[id], peers, dir); err != nil {
 			c.stop()
 			return nil, err
 		}
+		delete(listeners, id)
 	}
 	return c, nil
 }
 
-// freeAddress returns a loopback address with an unused port. Another process may
-// take the port before it is used.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return listener.Addr().String(), listener.Close()
-}
-
-func (c *cluster) startReplica(id uint64, addr string, peers map[uint64]string, dir string) error {
+// startReplica starts a replica that serves on the listener.
+func (c *cluster) startReplica(id uint64, listener net.Listener, peers map[uint64]string, dir string) error {
 	// Register sets the defaults of all settings that are not set below.
 	settings := &control.Settings{}
 	settings.Register(setting.New("lilackeel-control"))
-	settings.ID, settings.Host, settings.Listen, settings.Peers = id, fmt.Sprint("control-", id), addr, peers
+	settings.ID, settings.Host, settings.Listen, settings.Peers = id, fmt.Sprint("control-", id), listener.Addr().String(), peers
 	settings.DataDir = filepath.Join(dir, settings.Host)
 	if err := os.MkdirAll(settings.DataDir, 0o750); err != nil {
 		return err
@@ -73,6 +70,7 @@
 	if err != nil {
 		return err
 	}
+	daemon.UseListener(listener)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- daemon.Run(ctx) }()
