link, rankhost, control/expertmap: calls of a map switch are repeated on a second connection

Cause: while the links of a zone lost 4% of their packets, four or five map switches in a row were aborted. A lost packet delays all calls on its connection by 200 ms and more, and one switch needs some 25 calls a round.

Change: after a call of 150 ms or more, a second connection to the same address is kept for 30 s. A call without a response is repeated on it once, after 50 ms (to a relay: 75 ms), and a call begins on it while calls on the first one are overdue. The response of the other attempt is delivered late. With that, a call in progress no longer keeps other messages from a host for up to a second: the next call may be made after 150 ms. Addresses without slow calls see no change.

--- a/control/expertmap/calls.go
+++ b/control/expertmap/calls.go
@@ -7,6 +7,7 @@
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	"github.com/lilackeel/lilackeel/group/fanout"
 	"github.com/lilackeel/lilackeel/group/mapwire"
+	"github.com/lilackeel/lilackeel/link"
 )
 
 const (
@@ -15,6 +16,11 @@
 	// relayTimeout bounds a call to a relay. After it another relay takes over, before the
 	// other agents of the branch count as unresponsive.
 	relayTimeout = 150 * time.Millisecond
+	// directDelay is the time after which a call to a single agent is repeated on a second
+	// connection, longer than an agent holds a call open for its engine (40 ms). relayDelay is the
+	// same for a call to a relay, which waits 60 ms for the other agents.
+	directDelay = 50 * time.Millisecond
+	relayDelay  = 75 * time.Millisecond
 )
 
 // send calls the agents that have messages waiting and no call in progress, with one call per
@@ -67,15 +73,26 @@
 	return request
 }
 
-// call makes one call and posts its result to Run.
+// call makes one call and posts its result to Run. With a Hedger, a response that arrives later is
+// posted too, and other messages for a single agent need not wait for it: a lost packet can delay a
+// response for longer than the ranks have to promise a step.
 func (d *Driver) call(ctx context.Context, branch fanout.Branch, request *agentv1.GroupRequest) {
-	timeout := callTimeout
+	on := func(transport Transport) func(context.Context) (*agentv1.GroupResponse, error) {
+		return func(ctx context.Context) (*agentv1.GroupResponse, error) {
+			return transport.Group(ctx, branch.Relay, request)
+		}
+	}
+	delay, wait := directDelay, callTimeout
 	if len(branch.Others) > 0 {
-		timeout = relayTimeout
+		delay = relayDelay
+	}
+	if len(branch.Others) > 0 || d.cfg.Hedger != nil {
+		wait = relayTimeout
 	}
-	callCtx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	response, err := d.cfg.Transport.Group(callCtx, branch.Relay, request)
+	response, err := link.HedgedCall[*agentv1.GroupResponse]{
+		Addr: branch.Relay, Primary: on(d.cfg.Transport), Backup: on(d.cfg.Backup), Delay: delay, Wait: wait, Timeout: callTimeout,
+		Late: func(late *agentv1.GroupResponse) { d.post(ctx, func() { d.applyResponse(ctx, branch.Relay, late) }) },
+	}.Do(ctx, d.cfg.Hedger)
 	d.post(ctx, func() { d.handleResponse(ctx, branch, response, err) })
 }
 
@@ -88,7 +105,15 @@
 		d.retryThroughNextRelay(ctx, branch.Others)
 		return
 	}
-	d.recordAnswers(branch, response)
+	for _, addr := range branch.Others {
+		d.failing[addr] = true
+	}
+	d.applyResponse(ctx, branch.Relay, response)
+}
+
+// applyResponse processes the content of the response of an agent.
+func (d *Driver) applyResponse(ctx context.Context, addr string, response *agentv1.GroupResponse) {
+	d.recordAnswers(addr, response)
 	out := newOutbox(d.rankAgents())
 	for _, message := range response.GetMessages() {
 		m, err := mapwire.FromProto(message)
@@ -118,12 +143,10 @@
 	d.send(ctx, out)
 }
 
-// recordAnswers records which agents of a branch have answered.
-func (d *Driver) recordAnswers(branch fanout.Branch, response *agentv1.GroupResponse) {
-	for _, addr := range branch.Others {
-		d.failing[addr] = true
-	}
-	for _, addr := range append(response.GetAnswered(), branch.Relay) {
+// recordAnswers records the agents that have answered: the one that was called, and others that it
+// has relayed the request to.
+func (d *Driver) recordAnswers(addr string, response *agentv1.GroupResponse) {
+	for _, addr := range append(response.GetAnswered(), addr) {
 		d.lastAnswer[addr] = d.now()
 		delete(d.failing, addr)
 	}
--- a/control/expertmap/driver.go
+++ b/control/expertmap/driver.go
@@ -12,6 +12,7 @@
 	"github.com/lilackeel/lilackeel/group/fanout"
 	"github.com/lilackeel/lilackeel/group/mapswitch"
 	"github.com/lilackeel/lilackeel/group/mapwire"
+	"github.com/lilackeel/lilackeel/link"
 )
 
 const (
@@ -50,6 +51,9 @@
 	// Log commits the decisions; Transport reaches the agents.
 	Log       Log
 	Transport Transport
+	// Hedger repeats calls through Backup, which uses second connections; nil to repeat none.
+	Hedger *link.Hedger
+	Backup Transport
 	// Proposer may be nil; this driver then begins no switches, but still completes pending
 	// ones.
 	Proposer Proposer
--- a/control/formations.go
+++ b/control/formations.go
@@ -9,6 +9,7 @@
 	"github.com/lilackeel/lilackeel/group"
 	"github.com/lilackeel/lilackeel/group/balance"
 	"github.com/lilackeel/lilackeel/group/mapswitch"
+	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/site"
 )
 
@@ -149,11 +150,13 @@
 	return time.Duration(step * float64(max(engine.GetStride(), 1)) * float64(time.Millisecond))
 }
 
-// formationsConfig returns the configuration of the formations' driver for one term.
-func (m *mapDriver) formationsConfig(l *leadership) expertmap.Config {
+// formationsConfig returns the configuration of the formations' driver for one term, which repeats
+// calls on the connections in backups.
+func (m *mapDriver) formationsConfig(l *leadership, backups *link.Pool) expertmap.Config {
 	groups := &formations{state: m.state, copyPrice: m.copyPrice}
 	return expertmap.Config{
-		State: m.state, Log: m.log, Transport: agentTransport{m.pool}, Shapes: groups.groupShapes, Token: l.fence, LogTime: l.logTime, Logger: m.logger,
+		State: m.state, Log: m.log, Transport: agentTransport{m.pool}, Hedger: link.NewHedger(backups), Backup: agentTransport{backups},
+		Shapes: groups.groupShapes, Token: l.fence, LogTime: l.logTime, Logger: m.logger,
 		Rescue:          m.rescueConfig(),
 		BranchSize:      branchSize,
 		Proposer:        &expertmap.FollowingProposer{Config: groups.followConfig, MaxGap: groups.maxGap, Interval: followInterval, Logger: m.logger},
--- a/control/maps.go
+++ b/control/maps.go
@@ -34,7 +34,9 @@
 // those formed by their ranks' announcements.
 func (m *mapDriver) drive(ctx context.Context, l *leadership) {
 	var drivers sync.WaitGroup
-	drivers.Go(func() { expertmap.NewDriver(m.formationsConfig(l)).Run(ctx) })
+	backups := m.pool.Sibling()
+	defer func() { _ = backups.Close() }()
+	drivers.Go(func() { expertmap.NewDriver(m.formationsConfig(l, backups)).Run(ctx) })
 	if len(m.groups.Shapes) > 0 {
 		drivers.Go(func() { expertmap.NewDriver(m.fileGroupsConfig(l)).Run(ctx) })
 	}
--- a/link/doc.go
+++ b/link/doc.go
@@ -1,7 +1,8 @@
 // Package link provides the connections between the processes of lilackeel:
 // mutual TLS whose keys are reloaded when their files change, keepalives that
 // detect silent network partitions, faults that keep their kind, message, remedy
-// and retry-after across gRPC, and a pool of client connections.
+// and retry-after across gRPC, a pool of client connections, and calls that are
+// repeated on a second connection while lost packets delay the first.
 //
 // Without TLS a connection is allowed between loopback addresses only, unless
 // -insecure is set. With TLS both sides must present a certificate issued by a
@@ -11,4 +12,6 @@
 // fault depends on whether the request was ever written to a connection: if not,
 // it is usually Unavailable (the peer has not run the call); otherwise it is
 // Unknown.
+//
+// Lock order: Hedger.mu before Pool.mu.
 package link
--- a/link/link_test.go
+++ b/link/link_test.go
@@ -273,3 +273,22 @@
 		}
 	}
 }
+
+// Guards against a second connection that is reported ready before it is established, or that is
+// only established by the first call on it.
+func TestOpenedConnectionBecomesReady(t *testing.T) {
+	is := is.New(t)
+	address, _ := serve(t, Config{}, &peer{})
+	options, err := DialOptions(Config{})
+	is.NoErr(err)
+	pool := NewPool(options...).Sibling()
+	defer func() { is.NoErr(pool.Close()) }()
+	is.True(!pool.Ready(address))
+	pool.Open(address)
+	for deadline := time.Now().Add(5 * time.Second); !pool.Ready(address) && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(pool.Ready(address))
+	pool.Drop(address)
+	is.True(!pool.Ready(address))
+}
--- a/link/pool.go
+++ b/link/pool.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/stats"
 
 	"github.com/lilackeel/lilackeel/fault"
@@ -34,6 +35,9 @@
 	return &Pool{options: options, conns: make(map[string]*pooledConn)}
 }
 
+// Sibling returns an empty pool whose connections use the same options.
+func (p *Pool) Sibling() *Pool { return NewPool(p.options...) }
+
 // Get returns the connection to address (host:port), which it creates on first
 // use. It does not wait for the network; the first call on the connection does.
 func (p *Pool) Get(address string) (*grpc.ClientConn, error) {
@@ -56,6 +60,21 @@
 	return conn, nil
 }
 
+// Open starts to connect to address without waiting for the connection.
+func (p *Pool) Open(address string) {
+	if conn, err := p.Get(address); err == nil {
+		conn.Connect()
+	}
+}
+
+// Ready reports whether the pool has an established connection to address.
+func (p *Pool) Ready(address string) bool {
+	p.mu.Lock()
+	pooled := p.conns[address]
+	p.mu.Unlock()
+	return pooled != nil && pooled.conn.GetState() == connectivity.Ready
+}
+
 // Drop removes the connection to address from the pool. Calls in flight on it
 // continue; it is closed after the last of them.
 func (p *Pool) Drop(address string) {
--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -43,7 +43,9 @@
 	announcer *announcer
 	server    *grpc.Server
 	pool      *link.Pool
-	listener  net.Listener
+	// backups holds the second connections to other hosts.
+	backups  *link.Pool
+	listener net.Listener
 }
 
 // New returns a daemon, which listens but does not serve before Run.
@@ -61,6 +63,7 @@
 		return nil, trace.Wrap(err, "cannot listen on %s; choose a free address with -listen", settings.Listen)
 	}
 	pool := link.NewPool(dial...)
+	backups := pool.Sibling()
 	finder := replicas.New(pool, settings.Control)
 	host := NewHost(Config{
 		Engine: engine, MapReader: controlMapReader{finder}, Logger: logger,
@@ -69,10 +72,11 @@
 	})
 	server := grpc.NewServer(options...)
 	agentv1.RegisterAgentServer(server, &service{
-		host: host, endpoint: settings.Endpoint, shared: sharing.NewHost(host.now, ratelimit.NewArbiter()), relay: &relay{call: hostClient{pool}.callGroup, logger: logger, inFlight: map[string]bool{}},
+		host: host, endpoint: settings.Endpoint, shared: sharing.NewHost(host.now, ratelimit.NewArbiter()),
+		relay: &relay{call: hostClient{pool}.callGroup, backup: hostClient{backups}.callGroup, hedger: link.NewHedger(backups), logger: logger, inFlight: map[string]bool{}},
 	})
 	return &Daemon{
-		settings: settings, logger: logger, ready: telemetry.NewReady(), host: host, server: server, pool: pool, listener: listener,
+		settings: settings, logger: logger, ready: telemetry.NewReady(), host: host, server: server, pool: pool, backups: backups, listener: listener,
 		announcer: &announcer{settings: settings, host: host, finder: finder, logger: logger, incarnation: rand.Uint64() | 1},
 	}, nil
 }
@@ -97,7 +101,7 @@
 	d.ready.Set(false, "stopping")
 	d.server.Stop()
 	tasks.Wait()
-	return trace.NewAggregate(<-serveErr, d.pool.Close())
+	return trace.NewAggregate(<-serveErr, d.pool.Close(), d.backups.Close())
 }
 
 // controlMapReader reads the records of expert maps from the control replicas. It implements
--- a/rankhost/relay.go
+++ b/rankhost/relay.go
@@ -8,6 +8,7 @@
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	"github.com/lilackeel/lilackeel/group/fanout"
+	"github.com/lilackeel/lilackeel/link"
 )
 
 const (
@@ -17,15 +18,26 @@
 	relayTimeout = 60 * time.Millisecond
 	// forwardTimeout bounds a call to another host.
 	forwardTimeout = time.Second
+	// forwardDelay is the time after which a call to another host is repeated on a second
+	// connection. It is longer than a host holds a call open for its engine.
+	forwardDelay = 50 * time.Millisecond
+	// forwardWait is the time after which another call to the same host may be made although the
+	// last one, which a lost packet may delay for longer, has not ended.
+	forwardWait = 150 * time.Millisecond
 	// maxLateResponses bounds the late responses that are kept; the leader repeats the
 	// requests of those that are dropped.
 	maxLateResponses = 32
 )
 
+// hostCall calls the host at an address.
+type hostCall func(ctx context.Context, addr string, request *agentv1.GroupRequest) (*agentv1.GroupResponse, error)
+
 // relay forwards the leader's requests to the hosts of other ranks. Its lock is a leaf lock.
 type relay struct {
-	// call calls the host at an address.
-	call   func(ctx context.Context, addr string, request *agentv1.GroupRequest) (*agentv1.GroupResponse, error)
+	// call calls the host at an address; backup does so on a second connection.
+	call, backup hostCall
+	// hedger repeats calls on second connections; nil to repeat none.
+	hedger *link.Hedger
 	logger *slog.Logger
 
 	mu sync.Mutex
@@ -75,9 +87,21 @@
 
 // forward calls one host and adds its response to the round.
 func (r *round) forward(ctx context.Context, addr string, request *agentv1.GroupRequest) {
-	callCtx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	response, err := r.relay.call(callCtx, addr, request)
+	on := func(call hostCall) func(context.Context) (*agentv1.GroupResponse, error) {
+		return func(ctx context.Context) (*agentv1.GroupResponse, error) { return call(ctx, addr, request) }
+	}
+	wait := forwardTimeout
+	if r.relay.hedger != nil {
+		wait = forwardWait
+	}
+	response, err := link.HedgedCall[*agentv1.GroupResponse]{
+		Addr: addr, Primary: on(r.relay.call), Backup: on(r.relay.backup), Delay: forwardDelay, Wait: wait, Timeout: forwardTimeout,
+		Late: func(response *agentv1.GroupResponse) {
+			r.relay.mu.Lock()
+			defer r.relay.mu.Unlock()
+			r.addResponse(addr, response)
+		},
+	}.Do(ctx, r.relay.hedger)
 	if err != nil {
 		r.relay.logger.Debug("cannot relay a request of the leader to another host", slog.String("host", addr), slog.Any("error", err))
 	}
@@ -85,8 +109,7 @@
 	defer r.relay.mu.Unlock()
 	delete(r.relay.inFlight, addr)
 	if err == nil {
-		response.Answered = append(response.Answered, addr)
-		r.addResponse(response)
+		r.addResponse(addr, response)
 	}
 	r.pending--
 	if r.pending == 0 {
@@ -94,9 +117,10 @@
 	}
 }
 
-// addResponse adds a response to the round, or to the late responses if the round has finished. The
-// caller must hold the relay's lock.
-func (r *round) addResponse(response *agentv1.GroupResponse) {
+// addResponse adds the response of a host to the round, or to the late responses if the round has
+// finished. The caller must hold the relay's lock.
+func (r *round) addResponse(addr string, response *agentv1.GroupResponse) {
+	response.Answered = append(response.Answered, addr)
 	if !r.finished {
 		fanout.Merge(r.merged, response)
 		return
