control/expertmap: agents are polled with the next call when their relay is busy

Cause: a poll of agents whose relay had a call in progress was dropped. A host that is slow to prepare a map, such as one that has just been restarted and may not promise the steps that its predecessor reserved, is asked again every 20 ms and holds each call for 40 ms, so its relay was nearly always busy. The other agents of the branch then had not answered for 400 ms, counted as unresponsive, and the switch was cancelled: "waited_for prepared", with the slow rank alone.

Change: the poll is deferred to the relay's next call.

--- a/control/expertmap/calls.go
+++ b/control/expertmap/calls.go
@@ -24,12 +24,26 @@
 )
 
 // send calls the agents that have messages waiting and no call in progress, with one call per
-// branch. The coordinator repeats any message that is not sent.
+// branch. The coordinator repeats any message that is not sent. Agents whose relay is busy are polled
+// for the demand with its next call: a rank that is slow to prepare keeps its relay busy most of the time, and the
+// other agents of the branch would count as unresponsive.
 func (d *Driver) send(ctx context.Context, out *outbox) {
+	for addr, counting := range d.deferredPolls {
+		if out.byAddr[addr] == nil {
+			out.byAddr[addr] = &agentv1.GroupRequest{}
+		}
+		out.demandPolls[addr] = out.demandPolls[addr] || counting
+	}
+	clear(d.deferredPolls)
 	due := func(addr string) bool { return out.byAddr[addr] != nil && !d.calling[addr] }
 	healthy := func(addr string) bool { return !d.failing[addr] }
 	for _, branch := range d.plan.Branches(due, healthy) {
 		if d.calling[branch.Relay] {
+			for _, addr := range branch.Others {
+				if counting, polled := out.demandPolls[addr]; polled {
+					d.deferredPolls[addr] = counting
+				}
+			}
 			continue
 		}
 		request := d.branchRequest(out, branch)
@@ -69,7 +83,7 @@
 	if request == nil {
 		request = &agentv1.GroupRequest{}
 	}
-	request.WithoutLoads = !o.counting[addr]
+	request.WithoutLoads = !o.demandPolls[addr]
 	return request
 }
 
--- a/control/expertmap/driver.go
+++ b/control/expertmap/driver.go
@@ -86,6 +86,9 @@
 	// last one.
 	calling, failing map[string]bool
 	results          chan func()
+	// deferredPolls holds the agents that were to be called for a poll of the demand while their
+	// relay was busy, and whether they are to be asked for counts.
+	deferredPolls map[string]bool
 	// lastAnswer is when each agent last answered, or was first called.
 	lastAnswer map[string]time.Duration
 	// ranks maps the ranks to their agents as of revision; plan divides the agents into
@@ -129,13 +132,14 @@
 // NewDriver returns the driver of a term.
 func NewDriver(cfg Config) *Driver {
 	return &Driver{
-		cfg:        cfg,
-		started:    time.Now(),
-		groups:     map[string]*groupState{},
-		calling:    map[string]bool{},
-		failing:    map[string]bool{},
-		lastAnswer: map[string]time.Duration{},
-		results:    make(chan func(), queueSize),
+		cfg:           cfg,
+		started:       time.Now(),
+		groups:        map[string]*groupState{},
+		calling:       map[string]bool{},
+		failing:       map[string]bool{},
+		deferredPolls: map[string]bool{},
+		lastAnswer:    map[string]time.Duration{},
+		results:       make(chan func(), queueSize),
 	}
 }
 
--- a/control/expertmap/outbox.go
+++ b/control/expertmap/outbox.go
@@ -50,13 +50,15 @@
 type outbox struct {
 	agents rankAgents
 	byAddr map[string]*agentv1.GroupRequest
-	// counting holds the agents that are asked for their counts, preparing the groups with
-	// ranks that are asked to prepare a map.
-	counting, preparing map[string]bool
+	// demandPolls holds the agents that are called for a poll of the demand, and whether they are
+	// asked for their counts.
+	demandPolls map[string]bool
+	// preparing holds the groups with ranks that are asked to prepare a map.
+	preparing map[string]bool
 }
 
 func newOutbox(agents rankAgents) *outbox {
-	return &outbox{agents: agents, byAddr: map[string]*agentv1.GroupRequest{}, counting: map[string]bool{}, preparing: map[string]bool{}}
+	return &outbox{agents: agents, byAddr: map[string]*agentv1.GroupRequest{}, demandPolls: map[string]bool{}, preparing: map[string]bool{}}
 }
 
 // add adds a message. A message for a rank without an agent is dropped; the coordinator
@@ -72,10 +74,11 @@
 	}
 }
 
-// count asks the agent of a rank for its counts.
-func (o *outbox) count(rank rankID) {
+// pollDemand calls the agent of a rank for a poll of the demand, with or without its counts.
+func (o *outbox) pollDemand(rank rankID, counting bool) {
 	if o.request(rank) != nil {
-		o.counting[o.agents[rank]] = true
+		addr := o.agents[rank]
+		o.demandPolls[addr] = o.demandPolls[addr] || counting
 	}
 }
 
--- a/control/expertmap/polling.go
+++ b/control/expertmap/polling.go
@@ -41,8 +41,8 @@
 	for rank := range shape.Ranks {
 		id := rankID{g.name, rank}
 		out.request(id)
-		if pollDemand && g.lastDemandPoll.includes(rank, shape.Ranks) {
-			out.count(id)
+		if pollDemand {
+			out.pollDemand(id, g.lastDemandPoll.includes(rank, shape.Ranks))
 		}
 	}
 }
