control/expertmap: a poll waits for a busy relay only after 200 ms without an answer

The polls themselves put more packets on the connections that lose them.

Change: only agents whose last answer is 200 ms old, half the time after which they count as unresponsive, wait for the relay; other polls are dropped as before.

--- a/control/expertmap/calls.go
+++ b/control/expertmap/calls.go
@@ -21,6 +21,9 @@
 	// same for a call to a relay, which waits 60 ms for the other agents.
 	directDelay = 50 * time.Millisecond
 	relayDelay  = 75 * time.Millisecond
+	// pollOverdue is the time since its last answer after which the poll of an agent waits for a busy
+	// relay instead of being dropped. More polls would only load links that lose packets.
+	pollOverdue = rescueAfter / 2
 )
 
 // send calls the agents that have messages waiting and no call in progress, with one call per
@@ -40,7 +43,7 @@
 	for _, branch := range d.plan.Branches(due, healthy) {
 		if d.calling[branch.Relay] {
 			for _, addr := range branch.Others {
-				if counting, polled := out.demandPolls[addr]; polled {
+				if counting, polled := out.demandPolls[addr]; polled && d.now()-d.lastAnswer[addr] >= pollOverdue {
 					d.deferredPolls[addr] = counting
 				}
 			}
--- a/control/expertmap/deferred_test.go
+++ b/control/expertmap/deferred_test.go
@@ -21,6 +21,7 @@
 		d := NewDriver(Config{State: f.state, Transport: f, Logger: slog.New(slog.DiscardHandler), BranchSize: 8})
 		agents := d.rankAgents()
 		slow, mate := agents[rankID{testGroup, 10}], agents[rankID{testGroup, 11}] // both behind the relay of rank 0
+		time.Sleep(pollOverdue)
 		message := newOutbox(agents)
 		message.byAddr[slow] = &agentv1.GroupRequest{}
 		d.send(t.Context(), message)
