link, rankhost, control/expertmap: calls to slow addresses give way to other paths sooner

Cause: while a lost packet delayed the call to a relay, its branch waited for 150 ms, which is the whole time for a promise with a short lead.

Change: for 30 s after a slow call to an address, the leader waits 80 ms for it, instead of 150 ms, before the next relay takes over, and a relay forwards again to a host after 60 ms. Late responses still count. The call to a relay is repeated after 65 instead of 75 ms, in time before the 80 ms.

--- a/control/expertmap/calls.go
+++ b/control/expertmap/calls.go
@@ -20,7 +20,10 @@
 	// connection, longer than an agent holds a call open for its engine (40 ms). relayDelay is the
 	// same for a call to a relay, which waits 60 ms for the other agents.
 	directDelay = 50 * time.Millisecond
-	relayDelay  = 75 * time.Millisecond
+	relayDelay  = 65 * time.Millisecond
+	// slowTimeout replaces both timeouts after a slow call to the agent, which lost packets may have
+	// delayed. Other paths are then tried sooner; a later response still counts.
+	slowTimeout = 80 * time.Millisecond
 	// pollOverdue is the time since its last answer after which the poll of an agent waits for a busy
 	// relay instead of being dropped. More polls would only load links that lose packets.
 	pollOverdue = rescueAfter / 2
@@ -107,7 +110,7 @@
 		wait = relayTimeout
 	}
 	response, err := link.HedgedCall[*agentv1.GroupResponse]{
-		Addr: branch.Relay, Primary: on(d.cfg.Transport), Backup: on(d.cfg.Backup), Delay: delay, Wait: wait, Timeout: callTimeout,
+		Addr: branch.Relay, Primary: on(d.cfg.Transport), Backup: on(d.cfg.Backup), Delay: delay, Wait: wait, SlowWait: slowTimeout, Timeout: callTimeout,
 		Late: func(late *agentv1.GroupResponse) { d.post(ctx, func() { d.applyResponse(ctx, branch.Relay, late) }) },
 	}.Do(ctx, d.cfg.Hedger)
 	d.post(ctx, func() { d.handleResponse(ctx, branch, response, err) })
--- a/link/hedge.go
+++ b/link/hedge.go
@@ -76,6 +76,13 @@
 	h.backups.Drop(addr)
 }
 
+// isSlow reports whether there has been a slow call to an address within backupRetention.
+func (h *Hedger) isSlow(addr string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.addrs[addr] != nil
+}
+
 // ready reports whether calls to an address can be repeated.
 func (h *Hedger) ready(addr string) bool {
 	h.mu.Lock()
@@ -125,8 +132,10 @@
 	// Delay is the time without a response after which the call is repeated, longer than healthy
 	// calls take.
 	Delay time.Duration
-	// Wait bounds the time until Do returns, Timeout that of each attempt.
-	Wait, Timeout time.Duration
+	// Wait bounds the time until Do returns; SlowWait does so after a slow call to the address, when
+	// further calls, for which the caller has other paths, should not wait for a delayed one. Timeout
+	// bounds each attempt.
+	Wait, SlowWait, Timeout time.Duration
 }
 
 // attemptResult is the result of one attempt of a call.
@@ -136,7 +145,7 @@
 }
 
 // Do makes the call and returns the first response, or an error once all attempts have failed or
-// Wait has elapsed. Attempts continue after Do has returned, until they time out or ctx ends. If h
+// Wait (SlowWait) has elapsed. Attempts continue after Do has returned, until they time out or ctx ends. If h
 // is nil, only the primary call is made, and it ends with Do.
 func (c HedgedCall[T]) Do(ctx context.Context, h *Hedger) (T, error) {
 	if h == nil {
@@ -148,7 +157,11 @@
 	first := h.preferred(c.Addr)
 	go c.attempt(ctx, h, first, results)
 	pending := 1
-	repeat, wait := time.NewTimer(c.Delay), time.NewTimer(c.Wait)
+	limit := c.Wait
+	if h.isSlow(c.Addr) {
+		limit = c.SlowWait
+	}
+	repeat, wait := time.NewTimer(c.Delay), time.NewTimer(limit)
 	defer repeat.Stop()
 	defer wait.Stop()
 	for {
@@ -167,7 +180,7 @@
 		case <-wait.C:
 			c.collectLate(results, pending)
 			var none T
-			return none, fault.Newf(fault.Unknown, "repeat the call", "no response from %s within %v", c.Addr, c.Wait)
+			return none, fault.Newf(fault.Unknown, "repeat the call", "no response from %s within %v", c.Addr, limit)
 		}
 	}
 }
--- a/link/hedge_test.go
+++ b/link/hedge_test.go
@@ -100,7 +100,7 @@
 		}
 	}
 	_, err := HedgedCall[int]{
-		Addr: "a", Primary: on(primaryConn), Backup: on(backupConn), Delay: 50 * time.Millisecond, Wait: time.Second, Timeout: time.Second,
+		Addr: "a", Primary: on(primaryConn), Backup: on(backupConn), Delay: 50 * time.Millisecond, Wait: time.Second, SlowWait: 250 * time.Millisecond, Timeout: time.Second,
 		Late: func(int) { l.late.Add(1) },
 	}.Do(context.Background(), l.hedger)
 	l.failed = l.failed || err != nil
@@ -198,7 +198,14 @@
 		synctest.Wait()
 		is.Equal(l.backups.opened.Load(), int32(1))
 		is.Equal(l.backups.dropped.Load(), int32(1))
-		l.call()
+		l.conns[primaryConn].clear[0] = time.Now().Add(400 * time.Millisecond)
+		is.Equal(l.call(), 411*time.Millisecond)
 		is.Equal(l.callCounts(), [2]int32{3, 2})
+		for _, conn := range l.conns {
+			conn.clear[0] = time.Now().Add(400 * time.Millisecond)
+		}
+		is.Equal(l.call(), 250*time.Millisecond) // SlowWait
+		is.True(l.failed)
+		time.Sleep(time.Minute)
 	})
 }
--- a/rankhost/relay.go
+++ b/rankhost/relay.go
@@ -24,6 +24,8 @@
 	// forwardWait is the time after which another call to the same host may be made although the
 	// last one, which a lost packet may delay for longer, has not ended.
 	forwardWait = 150 * time.Millisecond
+	// slowForwardWait replaces forwardWait after a slow call to the host.
+	slowForwardWait = relayTimeout
 	// maxLateResponses bounds the late responses that are kept; the leader repeats the
 	// requests of those that are dropped.
 	maxLateResponses = 32
@@ -95,7 +97,7 @@
 		wait = forwardWait
 	}
 	response, err := link.HedgedCall[*agentv1.GroupResponse]{
-		Addr: addr, Primary: on(r.relay.call), Backup: on(r.relay.backup), Delay: forwardDelay, Wait: wait, Timeout: forwardTimeout,
+		Addr: addr, Primary: on(r.relay.call), Backup: on(r.relay.backup), Delay: forwardDelay, Wait: wait, SlowWait: slowForwardWait, Timeout: forwardTimeout,
 		Late: func(response *agentv1.GroupResponse) {
 			r.relay.mu.Lock()
 			defer r.relay.mu.Unlock()
