control/expertmap: the test of deferred polls reads its fleet under the lock

Cause: go test -race reported reads without the lock in TestPollWaitsForBusyRelay.

Result: go test -race -count=2 ./control/expertmap passes; the test still fails without the deferral.

--- a/control/expertmap/deferred_test.go
+++ b/control/expertmap/deferred_test.go
@@ -31,11 +31,17 @@
 		}
 		d.send(t.Context(), poll)
 		time.Sleep(20 * time.Millisecond)
-		is.True(f.reached[mate].IsZero())
+		is.Equal(f.callsSeen(mate), [2]bool{false, false})
 		(<-d.results)() // the relay has responded
 		time.Sleep(20 * time.Millisecond)
-		is.True(!f.reached[mate].IsZero())
-		is.True(f.counted[mate])
-		is.True(!f.counted[slow]) // it was called at the time of the poll
+		is.Equal(f.callsSeen(mate), [2]bool{true, true})
+		is.Equal(f.callsSeen(slow), [2]bool{true, false}) // it was being called at the time of the poll
 	})
 }
+
+// callsSeen reports whether a host has been reached and whether it has been asked for counts.
+func (f *testFleet) callsSeen(addr string) [2]bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return [2]bool{!f.reached[addr].IsZero(), f.counted[addr]}
+}
