balance: the lifetime of a map ends at the next jump where jumps are regular

Cause: DemandLifetime expected at least half of the mean time between jumps and counted from the time at which a jump is seen, so that switches shortly before a jump were taken to pay. Change: with Regular, three jumps within 10 s that deviate by a quarter of the mean at most give the time until the next jump, less the usual deviation and the delay of detection. FollowingProposer sets it where evenly loaded ranks take more than 0.6 of the promised gap; without a promised gap or below, the path is the one of before.

--- a/control/expertmap/following.go
+++ b/control/expertmap/following.go
@@ -80,6 +80,9 @@
 	g.undecided = false
 	g.stepTime.Observe(now, g.maxStep, g.follower.RelativeStepTime(current))
 	g.follower.SetStepTime(g.stepTime.UnitTime(), f.maxGap(name))
+	// At lower loads the copies that this saves cost less than the skew that it leaves.
+	balancedStep := time.Duration(g.follower.BalancedStepTime() * float64(g.stepTime.UnitTime()))
+	g.demandLifetime.Regular = balance.LateShare(balancedStep, f.maxGap(name)) > 0
 	g.follower.SetLifetime(g.demandLifetime.Remaining(now).Seconds())
 	// A held step delays only the streams that are on time. If all are already late with the
 	// map in force, a switch that may be held costs nothing.
--- a/group/balance/follow.go
+++ b/group/balance/follow.go
@@ -108,6 +108,10 @@
 // rank spends on experts.
 func (f *Follower) RelativeStepTime(m group.Map) float64 { return f.config.FixedRatio + f.Skew(m) }
 
+// BalancedStepTime returns the time of a step of evenly loaded nominal ranks, in the unit of
+// RelativeStepTime.
+func (f *Follower) BalancedStepTime() float64 { return f.config.FixedRatio + 1 }
+
 func (f *Follower) stallSeconds() float64 { return f.config.StallSeconds + f.stall }
 
 // SetLifetime sets for how long demand is expected to stay the same, in seconds.
