--- a/measure/following/run.go
+++ b/measure/following/run.go
@@ -1,6 +1,7 @@
 package following
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -26,6 +27,26 @@
 	// present load; both are zero if pass times are not simulated.
 	MaxPause          time.Duration
 	BalancedPassShare float64
+	// Demand returns the simulated demand; nil stands for the demand of measured deployments,
+	// with PopularityExponent.
+	Demand func(shape group.Shape, rng *rand.Rand) Demand
+	// SelectionsPerSecond is the number of expert selections counted per layer and second;
+	// zero stands for selectionsPerSecond.
+	SelectionsPerSecond float64
+}
+
+// Demand is simulated demand for experts.
+type Demand interface {
+	// advance returns the load of each expert, by layer and expert, at a time that does not
+	// decrease.
+	advance(now time.Duration) []float64
+}
+
+func (d Deployment) newDemand(rng *rand.Rand) Demand {
+	if d.Demand != nil {
+		return d.Demand(d.Shape, rng)
+	}
+	return newDemand(d.Shape, d.PopularityExponent, rng)
 }
 
 // Timing of the control leader, as measured on complete deployments: coordinationSeconds is
@@ -106,6 +127,9 @@
 	Oracle bool
 	// PauseAware values a shorter pass by how close passes are to the promised pause.
 	PauseAware bool
+	// RegularJumps makes use of the regularity of jumps where passes are not well within the
+	// promised pause even if the ranks are evenly loaded.
+	RegularJumps bool
 }
 
 // Result is the outcome of a policy.
@@ -135,7 +159,7 @@
 type simulation struct {
 	policy   Policy
 	shape    group.Shape
-	demand   *demand
+	demand   Demand
 	follower *balance.Follower
 	spell    balance.DemandLifetime
 	current  group.Map
@@ -145,12 +169,14 @@
 	// observed is the sum of the load counted since the last observation; delayed holds
 	// the counts that are not available yet, because they are younger than the
 	// observation delay.
-	observed         []float64
-	delayed          [][]float64
-	noise            *rand.Rand
-	coordinationTime time.Duration
-	copies           int
-	switches         int
+	observed []float64
+	delayed  [][]float64
+	noise    *rand.Rand
+	// selectionsPerSecond is the number of expert selections counted per layer and second.
+	selectionsPerSecond float64
+	coordinationTime    time.Duration
+	copies              int
+	switches            int
 	// timeUnit is the time of a pass per unit of relative time, passes the number of
 	// passes so far, and pace the leader's estimate of the pass time.
 	timeUnit time.Duration
@@ -163,9 +189,10 @@
 func Run(policy Policy, deployment Deployment, seed uint64, duration time.Duration) Result {
 	shape, fixed, copySlowdown := deployment.Shape, deployment.Config.FixedRatio, deployment.Config.CopySlowdown
 	s := &simulation{
-		policy: policy, shape: shape, demand: newDemand(shape, deployment.PopularityExponent, rand.New(rand.NewPCG(seed, 1))), current: group.RoundRobin(shape),
+		policy: policy, shape: shape, demand: deployment.newDemand(rand.New(rand.NewPCG(seed, 1))), current: group.RoundRobin(shape),
 		observed: make([]float64, shape.Layers*shape.Experts), noise: rand.New(rand.NewPCG(seed, 2)), coordinationTime: deployment.CoordinationTime,
 	}
+	s.selectionsPerSecond = cmp.Or(deployment.SelectionsPerSecond, selectionsPerSecond)
 	s.timeUnit, s.maxPause = time.Duration(deployment.BalancedPassShare*float64(deployment.MaxPause)/(fixed+1)), deployment.MaxPause
 	if policy.Config != nil {
 		s.follower = balance.NewFollower(*policy.Config)
@@ -231,6 +258,8 @@
 	if s.follower.Jumped() {
 		s.spell.RecordJump(now)
 	}
+	balancedPass := time.Duration(s.follower.BalancedStepTime() * float64(s.pace.UnitTime()))
+	s.spell.Regular = s.policy.RegularJumps && balance.LateShare(balancedPass, s.maxPause) > 0
 	s.follower.SetLifetime(s.spell.Remaining(now).Seconds())
 	if s.policy.PauseAware {
 		s.pace.Observe(now, uint64(s.passes), s.follower.RelativeStepTime(s.current))
@@ -275,7 +304,7 @@
 		for _, tokens := range noisy[first : first+experts] {
 			sum += tokens
 		}
-		selections := sum * tickInterval.Seconds() * selectionsPerSecond
+		selections := sum * tickInterval.Seconds() * s.selectionsPerSecond
 		for i := first; i < first+experts && sum > 0; i++ {
 			share := noisy[i] / sum
 			noisy[i] = max(0, sum*(share+math.Sqrt(share/selections)*s.noise.NormFloat64()))
