measure/following: a test of regular jumps at high and at low load

Cause: the saving of copies and the bound on the load were only in the command's figures. Change: a test compares both policies at passes of 0.8 and 0.45 of the pause.

--- a/measure/following/jumps_test.go
+++ b/measure/following/jumps_test.go
@@ -69,3 +69,23 @@
 		is.True(leader.Skew < 1.8)
 	}
 }
+
+// TestRegularJumpsSaveCopiesAtHighLoad guards against copies for maps that the next jump makes
+// useless, and against any effect where passes are well within the promised pause.
+func TestRegularJumpsSaveCopiesAtHighLoad(t *testing.T) {
+	for _, kind := range []JumpKind{ReturningJumps, FreshJumps} {
+		is := is.New(t)
+		compare := func(passShare float64) (before, after Result) {
+			d := JumpingDeployment(MeasuredShares(kind), passShare)
+			regular := d.PauseAwarePolicy()
+			regular.RegularJumps = true
+			return Run(d.PauseAwarePolicy(), d, 1, JumpsDuration), Run(regular, d, 1, JumpsDuration)
+		}
+		before, after := compare(0.8)
+		t.Logf("%s: copies per second %.1f and %.1f, step time %.3f and %.3f", kind, before.CopiesPerSecond, after.CopiesPerSecond, before.StepTime, after.StepTime)
+		is.True(after.CopiesPerSecond < 0.95*before.CopiesPerSecond)
+		is.True(after.StepTime < 1.005*before.StepTime)
+		before, after = compare(0.45)
+		is.Equal(before, after)
+	}
+}
