--- a/control/expertmap/following.go
+++ b/control/expertmap/following.go
@@ -19,6 +19,9 @@
 	// MaxGap returns the longest gap between tokens promised to the streams of a group; MaxGap
 	// may be nil, and zero stands for no promise.
 	MaxGap func(group string) time.Duration
+	// RegularJumps is set to expect the next change of demand after the time that earlier ones took,
+	// where these were regular and the group is under high load.
+	RegularJumps bool
 	// Interval is the time between two observations.
 	Interval time.Duration
 	// Logger must be set.
@@ -132,6 +135,9 @@
 	g.follower.SetRankCosts(g.costs)
 	g.stepTime.Observe(now, g.maxStep, g.follower.RelativeStepTime(current))
 	g.follower.SetStepTime(g.stepTime.UnitTime(), f.maxGap(name))
+	// At lower loads the copies that regular jumps save cost less than the skew that they leave.
+	balancedStep := time.Duration(g.follower.BalancedStepTime() * float64(g.stepTime.UnitTime()))
+	g.demandLifetime.Regular = f.RegularJumps && balance.LateShare(balancedStep, f.maxGap(name)) > 0
 	g.follower.SetLifetime(g.demandLifetime.Remaining(now).Seconds())
 	// A held step delays only the streams that are on time. If all are already late with the
 	// map in force, a switch that may be held costs nothing.
--- a/control/formations.go
+++ b/control/formations.go
@@ -159,7 +159,7 @@
 		Shapes: groups.groupShapes, Token: l.fence, LogTime: l.logTime, Logger: m.logger,
 		Rescue:          m.rescueConfig(),
 		BranchSize:      branchSize,
-		Proposer:        &expertmap.FollowingProposer{Config: groups.followConfig, MaxGap: groups.maxGap, Interval: followInterval, Logger: m.logger},
+		Proposer:        &expertmap.FollowingProposer{Config: groups.followConfig, MaxGap: groups.maxGap, RegularJumps: m.regularJumps, Interval: followInterval, Logger: m.logger},
 		ObserveInterval: func(string) time.Duration { return followInterval },
 		Options: func(name string) mapswitch.Options {
 			return mapswitch.Options{
--- a/control/maps.go
+++ b/control/maps.go
@@ -27,7 +27,9 @@
 	// copyPrice is the cost of copying one gigabyte of experts, as an equivalent amount of step
 	// time.
 	copyPrice time.Duration
-	logger    *slog.Logger
+	// regularJumps is Settings.RegularJumps.
+	regularJumps bool
+	logger       *slog.Logger
 }
 
 // drive runs until ctx ends, with one driver for the groups of the groups file and one for
--- a/control/providers.go
+++ b/control/providers.go
@@ -66,7 +66,7 @@
 	}
 	orders := &orderDriver{state: state, log: log, pool: pool, limits: limits, logger: logger}
 	finish := &intentFinisher{state: state, log: log, status: collector, logger: logger}
-	maps := &mapDriver{state: state, log: log, pool: pool, groups: s.Groups, engine: s.Engine, copyPrice: s.CopyPrice, logger: logger}
+	maps := &mapDriver{state: state, log: log, pool: pool, groups: s.Groups, engine: s.Engine, copyPrice: s.CopyPrice, regularJumps: s.RegularJumps, logger: logger}
 	return []driver{orders.drive, finish.drive, maps.drive}
 }
 
--- a/group/balance/follow.go
+++ b/group/balance/follow.go
@@ -126,6 +126,10 @@
 // fixedRatio is FollowConfig.FixedRatio on the slowest rank, for which the others wait.
 func (f *Follower) fixedRatio() float64 { return f.config.FixedRatio * f.highestCost }
 
+// BalancedStepTime returns the time of a step of evenly loaded nominal ranks, in the unit of
+// RelativeStepTime.
+func (f *Follower) BalancedStepTime() float64 { return f.config.FixedRatio + 1 }
+
 func (f *Follower) stallSeconds() float64 { return f.config.StallSeconds + f.stall }
 
 // SetLifetime sets for how long demand is expected to stay the same, in seconds.
