endpoint/speed, rankhost, group/balance: one way of normalizing a slowdown

The bounds and the range of nominal values stood three times, and differed in rounding at 1.1. No value in use changes but that a nominal engine is reported as exactly 1.

--- a/endpoint/speed/speed.go
+++ b/endpoint/speed/speed.go
@@ -67,7 +67,7 @@
 	if t == nil {
 		return
 	}
-	valid := slowdown > 0 && !math.IsInf(slowdown, 1)
+	slowdown, valid := Normalize(slowdown)
 	if !valid && !t.Any(now) {
 		return
 	}
@@ -81,7 +81,7 @@
 		}
 		delete(t.reportedAt, id)
 	}
-	t.set(now, id, normalize(slowdown))
+	t.set(now, id, slowdown)
 }
 
 // set records a normalized slowdown. The caller must hold the lock.
@@ -148,10 +148,15 @@
 
 func (r report) expired(now time.Duration) bool { return now-r.at > reportTTL }
 
-// normalize returns the slowdown in use for a reported value.
-func normalize(slowdown float64) float64 {
-	if !(slowdown > 0) || math.IsInf(slowdown, 1) || slowdown >= minNominal && slowdown <= maxNominal {
-		return Nominal
+// Normalize returns the slowdown to use for a reported value: Nominal for values close to it and for
+// those that no engine can have, and the nearest bound for those out of bounds. valid is false if no
+// engine can have the value.
+func Normalize(reported float64) (slowdown float64, valid bool) {
+	if !(reported > 0) || math.IsInf(reported, 1) {
+		return Nominal, false
+	}
+	if reported >= minNominal && reported <= maxNominal {
+		return Nominal, true
 	}
-	return min(max(slowdown, minSlowdown), maxSlowdown)
+	return min(max(reported, minSlowdown), maxSlowdown), true
 }
--- a/entry/late.go
+++ b/entry/late.go
@@ -108,8 +108,9 @@
 }
 
 // onTimeDemand returns the mean number of slots that on-time requests of a level and of
-// higher-priority ones hold: those that arrive during one mean hold time. The count starts at zero: the requests that have waited for the entry
-// to start arrive in a burst and are already late, so they say nothing about the rate.
+// higher-priority ones hold: those that arrive during one mean hold time. The count starts at zero:
+// the requests that have waited for the entry to start arrive in a burst and are already late, so
+// they say nothing about the rate.
 func (q *lateQueue) onTimeDemand(level int, load occupancy) float64 {
 	arrived := 0.0
 	for other, count := range q.onTime {
@@ -121,8 +122,9 @@
 }
 
 // spareSlots returns how many late requests of a level may start now: the slots that on-time
-// requests that go before it neither hold nor will need while it holds its slot. While requests of lower-priority levels are queued, the slots that are held are
-// spare too: whatever holds them, the next one that is released goes to the late request.
+// requests that go before it neither hold nor will need while it holds its slot. While requests of
+// lower-priority levels are queued, the slots that are held are spare too: whatever holds them, the
+// next one that is released goes to the late request.
 func (q *lateQueue) spareSlots(level int, load occupancy) float64 {
 	used := math.Floor(q.onTimeDemand(level, load))
 	if load.lowerQueued == 0 {
@@ -134,8 +136,8 @@
 // acquireShared reserves a slot of the gate for a late request, if there is one to spare beside
 // those for waiting requests of higher-priority levels.
 //
-// No on-time request of its level may wait behind a late one: a slot that is merely free at the moment will be
-// needed by the next on-time request, which would otherwise become late itself.
+// No on-time request of its level may wait behind a late one: a slot that is merely free at the
+// moment will be needed by the next on-time request, which would otherwise become late itself.
 func (l *lateQueues) acquireShared(pool string, level int, now time.Duration, load occupancy) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/group/balance/rankspeed.go
+++ b/group/balance/rankspeed.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 )
 
 // RankSpeeds keeps the slowdowns that the ranks of one group report: the factors by which
@@ -27,11 +29,8 @@
 }
 
 const (
-	// minSlowdown and maxSlowdown bound the slowdowns that are believed.
-	minSlowdown = 0.25
-	maxSlowdown = 64
-	// slowdownTolerance is the relative difference from nominal, and from the value in use, up
-	// to which a report changes nothing. The last digits allow for rounding, as in 1.1 - 1.
+	// slowdownTolerance is the relative difference from the value in use up to which a report
+	// changes nothing. The last digits allow for rounding, as in 1.1 - 1.
 	slowdownTolerance = 0.1 + 1e-9
 	// slowdownExpiry is the time after which a value that has not been renewed is dropped.
 	slowdownExpiry = 3 * time.Second
@@ -47,14 +46,14 @@
 // NewRankSpeeds returns the speeds of a group whose ranks are all nominal.
 func NewRankSpeeds(ranks int) *RankSpeeds { return &RankSpeeds{ranks: make([]rankSpeed, ranks)} }
 
-// Record records the slowdown that a rank reports, 1 for nominal. Values that no engine can
-// have count as nominal, and those out of bounds as the nearest bound. A rank that does not
-// exist is ignored.
+// Record records the slowdown that a rank reports, normalized by speed.Normalize. A rank that
+// does not exist is ignored.
 func (s *RankSpeeds) Record(now time.Duration, rank int, slowdown float64) {
 	if rank < 0 || rank >= len(s.ranks) {
 		return
 	}
-	s.ranks[rank].record(now, normalizeSlowdown(slowdown))
+	slowdown, _ = speed.Normalize(slowdown)
+	s.ranks[rank].record(now, slowdown)
 }
 
 // Costs returns the time that a unit of load takes on each rank, 1 being nominal.
@@ -99,11 +98,3 @@
 	}
 	return min(2*r.hold, slowdownExpiry)
 }
-
-// normalizeSlowdown returns the slowdown to use for a reported value.
-func normalizeSlowdown(slowdown float64) float64 {
-	if !(slowdown > 0) || math.IsInf(slowdown, 1) || math.Abs(slowdown-1) <= slowdownTolerance {
-		return 1
-	}
-	return min(max(slowdown, minSlowdown), maxSlowdown)
-}
--- a/rankhost/slowdown.go
+++ b/rankhost/slowdown.go
@@ -2,9 +2,9 @@
 
 import (
 	"log/slog"
-	"math"
 
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
+	"github.com/lilackeel/lilackeel/endpoint/speed"
 )
 
 // Values of Settings.ReportSlowdown.
@@ -17,34 +17,26 @@
 	SlowdownOff = "off"
 )
 
-const (
-	// minSlowdown and maxSlowdown bound the slowdowns that are reported. Values beyond them are
-	// more likely a fault of the report than the speed of an engine.
-	minSlowdown = 0.25
-	maxSlowdown = 64
-	// minNominal and maxNominal bound the slowdowns at which an engine counts as nominal.
-	minNominal = 0.9
-	maxNominal = 1.1
-)
-
 // reportedSlowdown returns the slowdown to report for a status under a mode, or zero if none is
 // known.
 func reportedSlowdown(s Status, mode string) float64 {
 	if mode == SlowdownOff || mode != SlowdownOn && s.Started == 0 {
 		return 0
 	}
-	if !validSlowdown(s.Slowdown) {
+	slowdown, valid := speed.Normalize(s.Slowdown)
+	if !valid {
 		return 0
 	}
-	return min(max(s.Slowdown, minSlowdown), maxSlowdown)
+	return slowdown
 }
 
-// validSlowdown reports whether an engine can work slower by a factor.
-func validSlowdown(factor float64) bool { return factor > 0 && !math.IsInf(factor, 1) }
+// isNominal reports whether a reported slowdown is nominal or not known.
+func isNominal(slowdown float64) bool { return slowdown == 0 || slowdown == speed.Nominal }
 
-// isNominal reports whether an engine with a slowdown counts as nominal.
-func isNominal(slowdown float64) bool {
-	return slowdown == 0 || slowdown >= minNominal && slowdown <= maxNominal
+// isInvalid reports whether an engine states a slowdown that it cannot have.
+func isInvalid(s Status) bool {
+	_, valid := speed.Normalize(s.Slowdown)
+	return s.Slowdown != 0 && !valid
 }
 
 // addSlowdown adds the rank's slowdown to its loads. The caller must hold the lock.
@@ -64,7 +56,7 @@
 	if isNominal(before) != isNominal(now) {
 		h.cfg.Logger.Info("the engine's speed changed", slog.Float64("slowdown", now))
 	}
-	if previous.Slowdown != current.Slowdown && current.Slowdown != 0 && !validSlowdown(current.Slowdown) && (previous.Slowdown == 0 || validSlowdown(previous.Slowdown)) {
+	if isInvalid(current) && !isInvalid(previous) {
 		h.cfg.Logger.Warn("the engine states an invalid slowdown, which counts as none", slog.Float64("slowdown", current.Slowdown))
 	}
 }
--- a/rankhost/slowdown_test.go
+++ b/rankhost/slowdown_test.go
@@ -30,8 +30,8 @@
 		{"negative", -2, 7, SlowdownAuto, 0},
 		{"not a number", math.NaN(), 7, SlowdownAuto, 0},
 		{"infinite", math.Inf(1), 7, SlowdownAuto, 0},
-		{"huge", 1e9, 7, SlowdownAuto, maxSlowdown},
-		{"tiny", 1e-9, 7, SlowdownAuto, minSlowdown},
+		{"huge", 1e9, 7, SlowdownAuto, 64},
+		{"tiny", 1e-9, 7, SlowdownAuto, 0.25},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is.New(t).Equal(reportedSlowdown(Status{Slowdown: c.stated, Started: c.started}, c.mode), c.want)
--- a/sharing/sharing.go
+++ b/sharing/sharing.go
@@ -1,8 +1,8 @@
 // Package sharing implements the host side of what entries share through the hosts whose load
 // reports they all read: crash reports, the rate limits that endpoints advertise, suspicions of
 // unresponsive endpoints, and the demand for pools. A host forwards the first three to all entries,
-// grants a permit for each request to a rate-limited endpoint, and adds up the demand. The control replicas are not involved, so that an entry that is
-// partitioned from them can still share.
+// grants a permit for each request to a rate-limited endpoint, and adds up the demand. The control
+// replicas are not involved, so that an entry that is partitioned from them can still share.
 package sharing
 
 import (
--- a/workspace/schedule.go
+++ b/workspace/schedule.go
@@ -108,9 +108,9 @@
 }
 
 // nextWorkspace returns the workspace whose request starts next, or nil. Where levels are on,
-// it is one with a request of the highest-priority level. A workspace with reserved slots left goes first, then one below its weighted share of the rest, then the
-// one with the least virtual time. The last two borrow slots and are chosen only if
-// mayBorrow allows it.
+// it is one with a request of the highest-priority level. A workspace with reserved slots left goes
+// first, then one below its weighted share of the rest, then the one with the least virtual time.
+// The last two borrow slots and are chosen only if mayBorrow allows it.
 func (a *Admission) nextWorkspace(now time.Duration) *workspaceState {
 	candidate := a.byDeficit.top()
 	if candidate == nil || candidate.belowReserved() {
