routed: the line about an ended endpoint has the parts of the prompt

Callers saw a pool refused for half a minute while one engine ended after the other. The line that says that an endpoint ended under a request had the request's fingerprint only, so that requests which are not equal could not be related to each other. It now has the first 16 parts of the prompt, how many there are, and how many chunks of the answer had been received.

No decision depends on the parts yet.

--- a/routed/attempt.go
+++ b/routed/attempt.go
@@ -74,9 +74,16 @@
 	change := s.Quarantine.RecordCrash(s.clock(), a.request.fingerprint, a.target.RunID())
 	s.Logger.LogAttrs(a.callerCtx, slog.LevelInfo, "an endpoint ended under a request",
 		slog.String("request_id", a.request.id), slog.Any("fingerprint", a.request.fingerprint), slog.String("endpoint", a.target.ID),
-		slog.Duration("ran", s.clock()-a.started), slog.Int("ends", change.Crashes), slog.Duration("hold", change.Hold))
+		slog.Duration("ran", s.clock()-a.started), slog.Int("ends", change.Crashes), slog.Duration("hold", change.Hold),
+		slog.Any("prompt_parts", firstParts(a.request.promptParts)), slog.Int("prompt_part_count", len(a.request.promptParts)), slog.Int("chunks", a.chunks))
 }
 
+// maxLoggedParts bounds the prompt parts in a log line, since callers may list thousands.
+const maxLoggedParts = 16
+
+// firstParts returns the parts of a prompt that are logged.
+func firstParts(parts []string) []string { return parts[:min(len(parts), maxLoggedParts)] }
+
 // recordCompletion records that the endpoint ran the request to completion.
 func (a *attempt) recordCompletion() {
 	s := a.server
--- a/routed/headers.go
+++ b/routed/headers.go
@@ -38,6 +38,9 @@
 	// Size returns the size of a model call: the prompt tokens and the maximum output tokens.
 	// Zeros, or a nil Size, mean unknown.
 	Size func(http.Header) (prompt, answer int)
+	// PromptParts returns the ids of the parts of a model call's prompt, in order. An empty result,
+	// or a nil PromptParts, means unknown.
+	PromptParts func(http.Header) []string
 }
 
 // headerLastEvent is the standard header to resume an event stream.
--- a/routed/request.go
+++ b/routed/request.go
@@ -42,6 +42,8 @@
 	work                 load.Work
 	// late is true if the caller is retrying and has already waited beyond the objective.
 	late bool
+	// promptParts are the ids of the parts of the prompt.
+	promptParts []string
 	// fingerprint is equal for requests that are sent again under another id.
 	fingerprint call.Fingerprint
 }
@@ -85,6 +87,9 @@
 	if s.config.Headers.Size != nil {
 		q.work.PromptTokens, q.work.MaxTokens = s.config.Headers.Size(r.Header)
 	}
+	if s.config.Headers.PromptParts != nil {
+		q.promptParts = s.config.Headers.PromptParts(r.Header)
+	}
 	if v := s.readBody(w, r, q, table); v != nil {
 		return q, v
 	}
