quarantine: hold the parts of prompts that crash endpoints

What callers saw: requests with one part in their prompts ended engine after engine; each end closes the lock-step group for some 4 s, so that nearly all requests of the pool were refused for half a minute.

Cause: crashes were counted for the fingerprint of a whole request. Of requests that are not equal each began with an empty record, and none reached the three crashes after which a request is held. The same class as in docs/incidents/crashing-request.md: evidence tied to something narrower than the cause.

Change: entries also count crashes for each part of a prompt at a pool. Parts of requests that run are given credit, each crash event halves it, and a part with credit is cleared of the crash for all entries, so that the shared parts of sound requests are not blamed. Processes that end within 500 ms are one event. Held is a part after three events, two with three processes, or one with five, the last for 5 s only. Parts that have met the same crashes are held together: only requests with all of them are refused. After a hold each entry tests the part with one request at a time. A request is checked when it arrives, before each attempt and when its connection stands. A request whose endpoint crashed before it sent anything is not sent to another one while nothing speaks for its parts. Reports on parts have the form of those on requests, so that hosts of earlier versions forward them.

--- a/call/direct.go
+++ b/call/direct.go
@@ -104,6 +104,14 @@
 	return RetryDecision{Retry: true, Delay: delay}
 }
 
+// AttemptFailedFinally reports that an attempt that may have run ended without a complete answer, and
+// that the call must not be sent to another endpoint.
+func (d *Direct) AttemptFailedFinally(now time.Duration, f *fault.Error) *Verdict {
+	d.sent++
+	d.mayHaveRun = true
+	return d.FailureVerdict(now, f)
+}
+
 // AttemptRerouted reports that an attempt was aborted to continue at another endpoint.
 // Its retry has already been withdrawn from the budget.
 func (d *Direct) AttemptRerouted(now time.Duration, f *fault.Error) RetryDecision {
--- a/direct/client.go
+++ b/direct/client.go
@@ -67,7 +67,7 @@
 type Client struct {
 	config Config
 	dialer net.Dialer
-	// listenChecks deduplicates concurrent calls of ConnectionRefused by address.
+	// listenChecks deduplicates concurrent calls of CheckListener by address.
 	listenChecks singleflight.Group
 
 	mu sync.Mutex
--- a/direct/refused_test.go
+++ b/direct/listener_test.go
@@ -7,14 +7,14 @@
 	"github.com/matryer/is"
 )
 
-func TestConnectionRefused(t *testing.T) {
+func TestCheckListener(t *testing.T) {
 	is := is.New(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	addr := listener.Addr().String()
 	c := NewClient(Config{})
 	defer c.Close()
-	is.True(!c.ConnectionRefused(t.Context(), addr))
+	is.Equal(c.CheckListener(t.Context(), addr), Listening)
 	is.NoErr(listener.Close())
-	is.True(c.ConnectionRefused(t.Context(), addr))
+	is.Equal(c.CheckListener(t.Context(), addr), NotListening)
 }
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -84,6 +84,8 @@
 	defer func() { <-relayDone }()
 	go d.detectOutliers(background)
 	registerQuarantineGauges(d.configurer.reports.crashes)
+	registerQuarantinedPartGauges(d.configurer.reports.crashes.Parts())
+	go d.configurer.reports.logHeldParts(background)
 	go d.configurer.reports.publishCrashReports(background)
 	go d.configurer.reports.publishSuspicions(background)
 	if d.config.Routed {
--- a/entry/publish.go
+++ b/entry/publish.go
@@ -28,6 +28,9 @@
 	// publishRetryInterval is the time after which a publication that no host accepted is retried,
 	// and the interval at which old reports are evicted.
 	publishRetryInterval = time.Second
+	// heldPartsLogInterval is the interval at which the held prompt parts are logged again: the lines
+	// from the beginning of a hold are soon outnumbered by those of the requests that it refuses.
+	heldPartsLogInterval = 10 * time.Second
 	// maxSnapshotReports bounds the crash reports that are sent when a report stream is opened.
 	maxSnapshotReports = 64
 )
@@ -45,6 +48,19 @@
 	})
 }
 
+// registerQuarantinedPartGauges registers the metrics of the number of prompt parts with recorded
+// crashes and of quarantined parts.
+func registerQuarantinedPartGauges(parts *quarantine.PartTracker) {
+	metrics.GetOrCreateGauge(`lilackeel_entry_quarantine_parts{state="known"}`, func() float64 {
+		known, _ := parts.Counts(time.Since(processStart))
+		return float64(known)
+	})
+	metrics.GetOrCreateGauge(`lilackeel_entry_quarantine_parts{state="held"}`, func() float64 {
+		_, held := parts.Counts(time.Since(processStart))
+		return float64(held)
+	})
+}
+
 // publishCrashReports publishes the crash reports of this entry until ctx ends. They go to hosts,
 // whose reports all entries read, so that entries without a connection to the control replicas get
 // them too.
@@ -58,6 +74,7 @@
 			return
 		case <-ticker.C:
 			p.crashes.EvictStale(time.Since(processStart))
+			p.crashes.Parts().SetEntries(p.Readers())
 		case <-p.crashes.LocalReports().Changed():
 		}
 		for {
@@ -74,6 +91,16 @@
 	}
 }
 
+// logHeldParts logs the held prompt parts periodically until ctx ends.
+func (p *ReportSubscriber) logHeldParts(ctx context.Context) {
+	for wait.For(ctx, heldPartsLogInterval); ctx.Err() == nil; wait.For(ctx, heldPartsLogInterval) {
+		held := p.crashes.Parts().Held(time.Since(processStart))
+		for i := range held {
+			quarantine.LogHeldPart(p.logger, &held[i])
+		}
+	}
+}
+
 // publishSuspicions publishes the suspicions of this entry until ctx ends.
 func (p *ReportSubscriber) publishSuspicions(ctx context.Context) {
 	ticker := time.NewTicker(publishRetryInterval)
@@ -152,6 +179,11 @@
 // mergeCrashReports merges the crash reports of other entries.
 func (p *ReportSubscriber) mergeCrashReports(now time.Duration, messages []*agentv1.CrashReport) {
 	for _, fingerprint := range p.crashes.Merge(now, quarantine.FromProto(now, messages)) {
+		if fingerprint.IsPart() {
+			state := p.crashes.Parts().State(now, fingerprint)
+			quarantine.LogHeldPart(p.logger, &state)
+			continue
+		}
 		p.logger.Info("quarantined a request that other entries reported", slog.Any("fingerprint", fingerprint), slog.Duration("hold", p.crashes.HoldRemaining(now, fingerprint)))
 	}
 }
--- a/entry/publish_test.go
+++ b/entry/publish_test.go
@@ -136,3 +136,48 @@
 		awaitQuarantine(t, crashes, crashing, false)
 	}
 }
+
+// awaitPartHeld waits until requests with a part are refused, or no longer.
+func awaitPartHeld(t *testing.T, crashes *quarantine.Tracker, parts quarantine.Parts, want bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); (crashes.Parts().Refusal(time.Since(processStart), parts) != nil) != want; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the part is held: %v", !want)
+		}
+	}
+}
+
+// Guards against entries that hold a part of prompts only for the crashes that they have seen
+// themselves: each of three has seen one, hosts and entries restart, and one entry finds the part
+// harmless. Hosts forward what is reported of parts like reports on requests, which hosts of earlier
+// versions do as well; an entry of an earlier version takes it for a request that it never gets.
+func TestPartReportsReachAllEntries(t *testing.T) {
+	is := is.New(t)
+	first, _ := startTestHost(t, "127.0.0.1:0")
+	second, stopSecond := startTestHost(t, "127.0.0.1:0")
+	entries := []*quarantine.Tracker{startSubscriber(t, first, second), startSubscriber(t, first, second), startSubscriber(t, first, second)}
+	now := time.Since(processStart)
+	request := func(own string) quarantine.Parts {
+		return quarantine.NewParts("pool", "crew", []string{"shared", "crash", own})
+	}
+	sound := quarantine.NewParts("pool", "crew", []string{"shared", "sound"})
+	entries[0].Parts().RecordSurvival(now, now, sound, "e0")
+	for i, crashes := range entries {
+		at := now - time.Duration(i)*5*time.Second
+		crashes.Parts().RecordCrash(at, request("own "+string(rune('1'+i))), "e"+string(rune('1'+i)))
+	}
+	for _, crashes := range entries {
+		awaitPartHeld(t, crashes, request("another"), true)
+		awaitPartHeld(t, crashes, sound, false)
+	}
+	started := startSubscriber(t, first)
+	awaitPartHeld(t, started, request("another"), true)
+	awaitPartHeld(t, started, sound, false)
+	stopSecond()
+	_, _ = startTestHost(t, second)
+	awaitPartHeld(t, startSubscriber(t, second), request("another"), true)
+	is.Equal(len(entries[0].Parts().RecordSurvival(now, now, request("another"), "e7")), 1)
+	for _, crashes := range append(entries, started) {
+		awaitPartHeld(t, crashes, request("another"), false)
+	}
+}
--- a/quarantine/evict.go
+++ b/quarantine/evict.go
@@ -9,6 +9,7 @@
 // EvictStale evicts the requests without a recent crash. It must be called periodically.
 func (t *Tracker) EvictStale(now time.Duration) {
 	t.registry.EvictStale(now)
+	t.parts.evictStale(now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for f, r := range t.requests {
--- a/quarantine/tracker.go
+++ b/quarantine/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,7 @@
 	// recurring are the requests with at least minRecurringCrashes crashes, whether they have
 	// completed since or not.
 	recurring map[call.Fingerprint]*record
+	parts     *PartTracker
 }
 
 // record is what is known of one request.
@@ -58,9 +60,16 @@
 
 // NewTracker returns an empty tracker.
 func NewTracker() *Tracker {
-	return &Tracker{requests: map[call.Fingerprint]*record{}, suspects: map[uint64]map[call.Fingerprint]bool{}, confirmedCauses: map[call.Fingerprint]*record{}, recurring: map[call.Fingerprint]*record{}, registry: NewRegistry()}
+	registry := NewRegistry()
+	return &Tracker{
+		requests: map[call.Fingerprint]*record{}, suspects: map[uint64]map[call.Fingerprint]bool{}, confirmedCauses: map[call.Fingerprint]*record{},
+		recurring: map[call.Fingerprint]*record{}, registry: registry, parts: newPartTracker(registry, rand.Uint64()),
+	}
 }
 
+// Parts returns the tracker of the parts of prompts.
+func (t *Tracker) Parts() *PartTracker { return t.parts }
+
 // LocalReports returns the registry of the reports that this entry publishes.
 func (t *Tracker) LocalReports() *Registry { return t.registry }
 
@@ -137,11 +146,29 @@
 	return true
 }
 
-// Merge merges the reports of other entries. It returns the requests that are newly held.
+// Merge merges the reports of other entries. It returns the requests and the parts of prompts that
+// are newly held.
 func (t *Tracker) Merge(now time.Duration, reports []CrashReport) []call.Fingerprint {
 	if len(reports) == 0 {
 		return nil
 	}
+	requests, parts := splitReports(reports)
+	return append(t.mergeRequests(now, requests), t.parts.Merge(now, parts)...)
+}
+
+// splitReports separates the reports on requests from those on parts of prompts.
+func splitReports(reports []CrashReport) (requests, parts []CrashReport) {
+	for _, report := range reports {
+		if report.Request.IsPart() {
+			parts = append(parts, report)
+		} else {
+			requests = append(requests, report)
+		}
+	}
+	return requests, parts
+}
+
+func (t *Tracker) mergeRequests(now time.Duration, reports []CrashReport) []call.Fingerprint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var held []call.Fingerprint
@@ -155,12 +182,12 @@
 	return held
 }
 
-// Snapshot returns at most limit reports, on requests with several crashes, for a host that may
-// have lost them.
+// Snapshot returns at most limit reports, on requests and parts of prompts with several crashes, for
+// a host that may have lost them. Those on parts are half of them at most.
 func (t *Tracker) Snapshot(limit int) []CrashReport {
+	reports := t.parts.snapshot(limit / 2)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var reports []CrashReport
 	for f, r := range t.requests {
 		if len(r.crashes) < 2 || len(reports)+len(r.crashes) > limit {
 			continue
--- a/routed/attempt.go
+++ b/routed/attempt.go
@@ -1,12 +1,12 @@
 package routed
 
 import (
-	"log/slog"
 	"sync/atomic"
 	"time"
 
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/call"
+	"github.com/lilackeel/lilackeel/direct"
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/fault"
@@ -28,6 +28,10 @@
 	firstChunkAt   time.Duration
 	chunks         int
 	chunksReceived atomic.Int32
+	// stopped is the reason why the request was not sent after all.
+	stopped *fault.Error
+	// endTrial ends the trial of a quarantined prompt part; see quarantine.PartTracker.BeginAttempt.
+	endTrial func()
 }
 
 // handleSendError ends an attempt that received no response head.
@@ -44,8 +48,7 @@
 	if f.Kind == fault.Unavailable && !a.rerouted.Load() {
 		return failed(call.Unsent, f)
 	}
-	a.checkProcessExit()
-	return a.interrupted(f)
+	return a.interrupted(f, a.checkProcess())
 }
 
 // recordNoResponse records that the endpoint did not respond.
@@ -55,44 +58,15 @@
 }
 
 // interrupted returns the result of an attempt that may have run and returned no complete
-// response.
-func (a *attempt) interrupted(f *fault.Error) attemptResult {
+// response. A request whose endpoint crashed before it sent anything is not sent to another one
+// while nothing speaks for the parts of its prompt: each attempt may crash one more endpoint.
+func (a *attempt) interrupted(f *fault.Error, state direct.ListenerState) attemptResult {
 	result := failed(call.MayHaveRun, f)
 	result.rerouted = a.rerouted.Load()
+	result.final = state == direct.NotListening && a.chunks == 0 && !a.server.Quarantine.Parts().Proven(a.request.parts)
 	return result
 }
 
-// checkProcessExit finds out whether the endpoint's process exited during the attempt. When the
-// process of one rank exits, streams at the other ranks of its group are interrupted as well, but
-// those endpoints keep listening.
-func (a *attempt) checkProcessExit() {
-	s := a.server
-	if a.callerCtx.Err() != nil || a.rerouted.Load() || !s.Client.ConnectionRefused(a.callerCtx, a.target.Addr) {
-		return
-	}
-	s.metrics.processExits.Inc()
-	change := s.Quarantine.RecordCrash(s.clock(), a.request.fingerprint, a.target.RunID())
-	s.Logger.LogAttrs(a.callerCtx, slog.LevelInfo, "an endpoint ended under a request",
-		slog.String("request_id", a.request.id), slog.Any("fingerprint", a.request.fingerprint), slog.String("endpoint", a.target.ID),
-		slog.Duration("ran", s.clock()-a.started), slog.Int("ends", change.Crashes), slog.Duration("hold", change.Hold),
-		slog.Any("prompt_parts", firstParts(a.request.promptParts)), slog.Int("prompt_part_count", len(a.request.promptParts)), slog.Int("chunks", a.chunks))
-}
-
-// maxLoggedParts bounds the prompt parts in a log line, since callers may list thousands.
-const maxLoggedParts = 16
-
-// firstParts returns the parts of a prompt that are logged.
-func firstParts(parts []string) []string { return parts[:min(len(parts), maxLoggedParts)] }
-
-// recordCompletion records that the endpoint ran the request to completion.
-func (a *attempt) recordCompletion() {
-	s := a.server
-	if cleared := s.Quarantine.RecordCompletion(s.clock(), a.started, a.request.fingerprint, a.target.RunID()); cleared > 0 {
-		s.Logger.LogAttrs(a.callerCtx, slog.LevelInfo, "cleared the recorded crashes of a request",
-			slog.String("request_id", a.request.id), slog.Any("fingerprint", a.request.fingerprint), slog.Int("ends", cleared))
-	}
-}
-
 // recordResult records the result of the attempt for load and outlier tracking.
 func (a *attempt) recordResult(isFailure bool) {
 	s, now := a.server, a.server.clock()
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -42,7 +42,7 @@
 		a.recordResult(true)
 		return failed(call.MayHaveRun, fault.Newf(fault.Unknown, "retry the request", "the endpoint responded with status %d without proof that it did not run the request", r.Status))
 	}
-	success := r.Status >= http.StatusOK && r.Status < http.StatusMultipleChoices
+	success := isSuccess(r.Status)
 	if success && names.Signature != "" && r.Header.Get(names.Signature) == "" {
 		a.recordResult(true)
 		return failed(call.MayHaveRun, fault.New(fault.Unknown, "the endpoint's response lacks the signature header", "retry the request"))
@@ -116,6 +116,10 @@
 	return limits.Refusal(a.request.pool)
 }
 
+func isSuccess(status int) bool {
+	return status >= http.StatusOK && status < http.StatusMultipleChoices
+}
+
 func isEventStream(header http.Header) bool {
 	return strings.HasPrefix(strings.ToLower(header.Get("Content-Type")), "text/event-stream")
 }
@@ -127,15 +131,14 @@
 	buffered, err := io.ReadAll(io.LimitReader(r.Body, int64(s.config.MaxBufferedBytes)+1))
 	if err != nil {
 		a.recordResult(a.callerCtx.Err() == nil)
-		a.checkProcessExit()
-		return failed(call.MayHaveRun, errIncompleteResponse(err))
+		return a.interrupted(errIncompleteResponse(err), a.checkProcess())
 	}
 	a.chunks = 1
 	if len(buffered) > s.config.MaxBufferedBytes {
 		return a.deliverUnbuffered(r, buffered)
 	}
 	a.recordResult(r.Status >= http.StatusInternalServerError)
-	a.recordCompletion()
+	a.recordCompletion(r.Status)
 	copyResponseHeaders(r.Header, a.w.Header())
 	if allowsBody(r.Status) && a.request.method != http.MethodHead {
 		a.w.Header().Set("Content-Length", strconv.Itoa(len(buffered)))
@@ -166,13 +169,13 @@
 		chunk = buffer[:n]
 		if errors.Is(err, io.EOF) {
 			a.recordResult(false)
-			a.recordCompletion()
+			a.recordCompletion(r.Status)
 			_, err = a.w.Write(chunk)
 			return a.deliveryResult(err)
 		}
 		if err != nil {
 			a.recordResult(a.callerCtx.Err() == nil)
-			a.checkProcessExit()
+			a.checkProcess()
 			return attemptResult{done: true, abort: true, outcome: call.Unknown.String(), fault: errIncompleteResponse(err)}
 		}
 	}
@@ -214,7 +217,7 @@
 			return a.streamBroken(errIncompleteResponse(io.ErrUnexpectedEOF))
 		case errors.Is(err, io.EOF):
 			a.recordResult(false)
-			a.recordCompletion()
+			a.recordCompletion(r.Status)
 			a.recordStreamLength()
 			if !a.headWritten {
 				a.writeHead(r)
@@ -272,20 +275,24 @@
 	a.server.Groups.Chunk(now, a.group, gap, maxGap)
 }
 
-// streamBroken ends an attempt whose stream was interrupted. If the stream cannot be resumed,
-// the caller's connection is aborted.
+// streamBroken ends an attempt whose stream was interrupted.
 func (a *attempt) streamBroken(f *fault.Error) attemptResult {
+	return a.streamEnded(f, a.checkProcess())
+}
+
+// streamEnded ends an attempt whose stream was interrupted at an endpoint in the given state. If the
+// stream cannot be resumed, the caller's connection is aborted.
+func (a *attempt) streamEnded(f *fault.Error, state direct.ListenerState) attemptResult {
 	callerLeft := a.callerCtx.Err() != nil
 	a.recordResult(!callerLeft && !a.rerouted.Load())
-	a.checkProcessExit()
 	if !a.headWritten {
-		return a.interrupted(f)
+		return a.interrupted(f, state)
 	}
 	if callerLeft || !site.Repeatable(a.request.route) {
 		return attemptResult{done: true, abort: true, outcome: call.Unknown.String(), fault: f}
 	}
 	a.server.metrics.resumes.Inc()
-	return a.interrupted(f)
+	return a.interrupted(f, state)
 }
 
 // writeEvents writes events to the caller, preceded by the response head of the first
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -63,7 +62,7 @@
 		Deadline: q.deadline, Repeatable: site.Repeatable(q.route), MaxAttempts: int(q.route.GetMaxAttempts()),
 		Backoff: s.config.Backoff, RetryAfter: s.config.RetryAfter, Budget: s.Budget, Rand: sharedRand,
 	})
-	if refusal := s.Quarantine.Refusal(s.clock(), q.fingerprint); refusal != nil {
+	if refusal := s.quarantineRefusal(q); refusal != nil {
 		return x.finishWithVerdict(x.machine.FailureVerdict(s.clock(), refusal))
 	}
 	admitCtx, cancel := context.WithTimeout(x.callerCtx, max(q.deadline-s.clock(), 0))
@@ -85,6 +84,8 @@
 		decision := result.decision
 		switch {
 		case decision.Retry:
+		case result.final:
+			decision = call.RetryDecision{Verdict: x.machine.AttemptFailedFinally(s.clock(), result.fault)}
 		case result.rerouted:
 			decision = x.machine.AttemptRerouted(s.clock(), result.fault)
 		default:
@@ -157,6 +158,8 @@
 	// rerouted is set if the attempt was cancelled to retry at another endpoint; the retry has
 	// been withdrawn from the budget.
 	rerouted bool
+	// final is set if the request must not be sent to another endpoint.
+	final bool
 }
 
 func failed(o call.AttemptOutcome, f *fault.Error) attemptResult {
@@ -166,8 +169,9 @@
 // attempt sends the request to one endpoint and delivers the response.
 func (x *exchange) attempt() attemptResult {
 	s, q := x.server, x.request
-	// The request may have crashed an endpoint since it was admitted, here or elsewhere.
-	if refusal := s.Quarantine.Refusal(s.clock(), q.fingerprint); refusal != nil {
+	// The request, or another one with the same part, may have crashed an endpoint since it was
+	// admitted, here or elsewhere.
+	if refusal := s.quarantineRefusal(q); refusal != nil {
 		return x.verdictResult(x.machine.FailureVerdict(s.clock(), refusal))
 	}
 	target, err := x.pick()
@@ -181,16 +185,17 @@
 	ctx, cancel := context.WithTimeout(ctx, max(q.deadline-s.clock(), 0)+responseGrace)
 	defer cancel()
 	s.metrics.attempts.Inc()
-	a := &attempt{exchange: x, started: s.clock(), group: groupOf(s.Groups, &target), load: s.Loads.Sent(s.clock(), target.ID, q.work)}
+	a := &attempt{exchange: x, started: s.clock(), endTrial: func() {}, group: groupOf(s.Groups, &target), load: s.Loads.Sent(s.clock(), target.ID, q.work)}
 	s.Groups.Sent(a.started, a.group)
 	defer s.Groups.Done(a.group)
 	s.Quarantine.AttemptStarted(a.started, q.fingerprint)
 	defer func() { s.Quarantine.AttemptEnded(s.clock(), q.fingerprint) }()
 	defer a.watch(cancel)()
-	response, err := s.Client.Send(ctx, target.Addr, x.buildRequest(&target))
-	if errors.Is(err, errPausedBeforeSend) {
+	defer func() { a.endTrial() }()
+	response, err := s.Client.Send(ctx, target.Addr, a.buildRequest(&target))
+	if a.stopped != nil {
 		a.recordResult(false)
-		return failed(call.Unsent, errPausedBeforeSend)
+		return failed(call.Unsent, a.stopped)
 	}
 	if err != nil {
 		return a.handleSendError(fault.From(err))
@@ -219,8 +224,8 @@
 }
 
 // buildRequest returns the request for the endpoint.
-func (x *exchange) buildRequest(target *endpoint.Endpoint) *direct.Request {
-	s, q := x.server, x.request
+func (a *attempt) buildRequest(target *endpoint.Endpoint) *direct.Request {
+	x, s, q := a.exchange, a.server, a.request
 	names := s.config.Headers
 	header := forwardedHeaders(q.header, s.consumedHeaders)
 	header.Set(call.HeaderRequestID, q.id)
@@ -240,7 +245,7 @@
 	}
 	return &direct.Request{
 		Method: q.method, Target: q.target, Host: q.host, ID: q.id, Header: header, Body: q.body,
-		BeforeSend: func() error { return x.checkPause(target.ID) },
+		BeforeSend: a.checkBeforeSend,
 	}
 }
 
@@ -248,11 +253,25 @@
 // was being established.
 var errPausedBeforeSend = fault.New(fault.RateLimited, "not run: the endpoint accepts no requests at the moment", "retry after the given time")
 
-// checkPause returns errPausedBeforeSend if the endpoint is paused.
-func (x *exchange) checkPause(id string) error {
-	if x.server.RateLimits.InPause(id) {
-		return errPausedBeforeSend
+// checkBeforeSend returns an error if the request must not be sent after all: while the connection
+// was being established, the endpoint may have asked for a pause, or the request may have been
+// quarantined.
+func (a *attempt) checkBeforeSend() error {
+	s, q := a.server, a.request
+	if s.RateLimits.InPause(a.target.ID) {
+		a.stopped = errPausedBeforeSend
+		return a.stopped
+	}
+	if refusal := s.Quarantine.Refusal(s.clock(), q.fingerprint); refusal != nil {
+		a.stopped = refusal
+		return a.stopped
+	}
+	end, refusal := s.Quarantine.Parts().BeginAttempt(s.clock(), q.parts)
+	if refusal != nil {
+		a.stopped = refusal.Fault
+		return a.stopped
 	}
+	a.endTrial = end
 	return nil
 }
 
--- a/routed/metrics.go
+++ b/routed/metrics.go
@@ -17,12 +17,15 @@
 	resumes  *metrics.Counter
 	// processExits counts the attempts during which the endpoint's process exited.
 	processExits *metrics.Counter
+	// partRefusals counts the refusals of requests with a quarantined prompt part.
+	partRefusals *metrics.Counter
 }
 
 func newServerMetrics() *serverMetrics {
 	m := &serverMetrics{
 		attempts:     metrics.GetOrCreateCounter(`lilackeel_routed_attempts_total`),
 		resumes:      metrics.GetOrCreateCounter(`lilackeel_routed_resumes_total`),
+		partRefusals: metrics.GetOrCreateCounter(`lilackeel_routed_prompt_part_refusals_total`),
 		processExits: metrics.GetOrCreateCounter(`lilackeel_routed_ended_under_request_total`),
 	}
 	metrics.GetOrCreateGauge(`lilackeel_routed_requests_in_flight`, func() float64 { return float64(m.inFlight.Load()) })
--- a/routed/promptparts_test.go
+++ b/routed/promptparts_test.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +11,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/quarantine"
+	"github.com/lilackeel/lilackeel/workspace"
 )
 
 const (
@@ -18,6 +22,14 @@
 	crashingPart = "crash"
 )
 
+// splitParts returns the parts in partsHeader.
+func splitParts(h http.Header) []string {
+	if h.Get(partsHeader) == "" {
+		return nil
+	}
+	return strings.Split(h.Get(partsHeader), ",")
+}
+
 // newPartsEntry returns an entry whose endpoints crash when a prompt has the crashing part. Time
 // advances by what is added to the returned counter, in addition to real time.
 func newPartsEntry(t *testing.T, count int) (*crashingEntry, *atomic.Int64) {
@@ -34,12 +46,7 @@
 		}
 	}
 	m.testEntry = newTestEntry(t, handlers...)
-	m.server.config.Headers.PromptParts = func(h http.Header) []string {
-		if h.Get(partsHeader) == "" {
-			return nil
-		}
-		return strings.Split(h.Get(partsHeader), ",")
-	}
+	m.server.config.Headers.PromptParts = splitParts
 	skipped := new(atomic.Int64)
 	clock := m.server.clock
 	m.server.clock = func() time.Duration { return clock() + time.Duration(skipped.Load()) }
@@ -79,3 +86,100 @@
 		})
 	}
 }
+
+// holdPart makes the server learn from other entries that a part has crashed three endpoints.
+func (m *crashingEntry) holdPart(id string) {
+	now := m.server.clock()
+	part := quarantine.NewParts("pool", "crew", []string{id})[0]
+	var reports []quarantine.CrashReport
+	for i := range 3 {
+		reports = append(reports, quarantine.CrashReport{Request: part.Fingerprint, Run: uint64(i + 1), At: now - time.Duration(i)*5*time.Second})
+	}
+	m.server.Quarantine.Merge(now, reports)
+}
+
+// holdingAdmitter calls hold while a request queues.
+type holdingAdmitter struct {
+	admitAll
+	hold func()
+}
+
+func (a holdingAdmitter) AdmitOnTime(ctx context.Context, pool string, r workspace.Request) (func(), error) {
+	a.hold()
+	return a.admitAll.AdmitOnTime(ctx, pool, r)
+}
+
+// holdingLimits calls hold right before a request is sent.
+type holdingLimits struct {
+	unlimited
+	hold func()
+}
+
+func (l holdingLimits) InPause(string) bool {
+	l.hold()
+	return false
+}
+
+// Guards against sending a request whose part is held by the time it would leave: while it queues,
+// while its connection is established, and before its second attempt.
+func TestRequestIsCheckedUntilItIsSent(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		received int
+		setUp    func(*crashingEntry, func())
+	}{
+		{"queued", 0, func(m *crashingEntry, hold func()) { m.server.Admitter = holdingAdmitter{hold: hold} }},
+		{"connecting", 0, func(m *crashingEntry, hold func()) { m.server.RateLimits = holdingLimits{hold: hold} }},
+		{"second attempt", 1, func(m *crashingEntry, hold func()) { m.onRequest = hold }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := &crashingEntry{}
+			reject := func(w http.ResponseWriter, _ *http.Request) {
+				if m.onRequest != nil {
+					m.onRequest()
+				}
+				w.Header().Set(DefaultHeaders.NotRun, "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}
+			m.testEntry = newTestEntry(t, reject, reject)
+			m.server.config.Headers.PromptParts = splitParts
+			c.setUp(m, func() { m.holdPart(crashingPart) })
+			refused := m.sendParts("/read/x", 1, "shared", crashingPart, "own")
+			is.Equal(refused.StatusCode, http.StatusServiceUnavailable)
+			is.Equal(refused.Header.Get("Lilackeel-Outcome"), "not-run") // no endpoint has run it
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			is.Equal(len(m.received), c.received)
+		})
+	}
+}
+
+// Guards against part lists that evade or disturb the quarantine: thousands of parts, the same part
+// twice, and none.
+func TestUnusualPartLists(t *testing.T) {
+	is := is.New(t)
+	long := func(id int) []string {
+		ids := make([]string, 0, 4000)
+		for i := range 3999 {
+			ids = append(ids, strconv.Itoa(id*10000+i))
+		}
+		return append(ids, crashingPart)
+	}
+	for name, list := range map[string]func(int) []string{
+		"long": long, "twice": func(id int) []string { return []string{crashingPart, crashingPart, strconv.Itoa(id)} },
+	} {
+		m, skipped := newPartsEntry(t, 30)
+		m.server.config.MaxHeaderBytes = 1 << 20
+		for id := range 8 {
+			m.sendParts("/read/x", id, list(id)...)
+			is.Equal(m.sendParts("/read/x", 100+id, "shared", strconv.Itoa(id)).StatusCode, http.StatusOK)
+			is.Equal(m.sendParts("/read/x", 200+id).StatusCode, http.StatusOK) // no parts
+			skipped.Add(int64(4 * time.Second))
+		}
+		t.Log(name, m.crashCount())
+		is.Equal(m.crashCount(), 3)
+		known, _ := m.server.Quarantine.Parts().Counts(m.server.clock())
+		is.True(known <= 3*33)
+	}
+}
--- /dev/null
+++ b/routed/quarantine.go
@@ -0,0 +1,90 @@
+package routed
+
+import (
+	"log/slog"
+
+	"github.com/lilackeel/lilackeel/direct"
+	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/quarantine"
+)
+
+// quarantineRefusal returns the fault of a request that is quarantined, for itself or for a part of
+// its prompt; nil if it may run.
+func (s *Server) quarantineRefusal(q *request) *fault.Error {
+	if refusal := s.Quarantine.Refusal(s.clock(), q.fingerprint); refusal != nil {
+		return refusal
+	}
+	if refusal := s.Quarantine.Parts().Refusal(s.clock(), q.parts); refusal != nil {
+		s.metrics.partRefusals.Inc()
+		return refusal.Fault
+	}
+	return nil
+}
+
+// checkProcess finds out whether the endpoint's process exited during the attempt, and records what
+// that says about the request. When the process of one rank exits, streams at the other ranks of its
+// group are interrupted as well, but those endpoints keep listening.
+func (a *attempt) checkProcess() direct.ListenerState {
+	if a.callerCtx.Err() != nil || a.rerouted.Load() {
+		return direct.ListenerUnknown
+	}
+	state := a.server.Client.CheckListener(a.callerCtx, a.target.Addr)
+	switch {
+	case state == direct.NotListening:
+		a.recordCrash()
+	case state == direct.Listening && a.chunks > 0:
+		// The endpoint had begun to answer and still runs, so the request did not crash it.
+		a.recordSurvival()
+	}
+	return state
+}
+
+// recordCrash records that the endpoint's process ended during the attempt.
+func (a *attempt) recordCrash() {
+	s, q := a.server, a.request
+	now, run := s.clock(), a.target.RunID()
+	s.metrics.processExits.Inc()
+	change := s.Quarantine.RecordCrash(now, q.fingerprint, run)
+	held := s.Quarantine.Parts().RecordCrash(now, q.parts, run)
+	s.Logger.LogAttrs(a.callerCtx, slog.LevelInfo, "an endpoint ended under a request",
+		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint), slog.String("endpoint", a.target.ID),
+		slog.Duration("ran", now-a.started), slog.Int("ends", change.Crashes), slog.Duration("hold", change.Hold),
+		slog.Any("prompt_parts", loggedIDs(q.parts)), slog.Int("prompt_part_count", len(q.parts)), slog.Int("chunks", a.chunks))
+	for i := range held {
+		quarantine.LogHeldPart(s.Logger, &held[i])
+	}
+}
+
+// recordSurvival records that the endpoint ran the request without a crash.
+func (a *attempt) recordSurvival() {
+	s := a.server
+	released := s.Quarantine.Parts().RecordSurvival(s.clock(), a.started, a.request.parts, a.target.RunID())
+	for i := range released {
+		quarantine.LogReleasedPart(s.Logger, a.request.id, &released[i])
+	}
+}
+
+// recordCompletion records that the endpoint ran the request to completion. A response with an error
+// status is no evidence that the endpoint began to answer the prompt.
+func (a *attempt) recordCompletion(status int) {
+	s := a.server
+	if cleared := s.Quarantine.RecordCompletion(s.clock(), a.started, a.request.fingerprint, a.target.RunID()); cleared > 0 {
+		s.Logger.LogAttrs(a.callerCtx, slog.LevelInfo, "cleared the recorded crashes of a request",
+			slog.String("request_id", a.request.id), slog.Any("fingerprint", a.request.fingerprint), slog.Int("ends", cleared))
+	}
+	if isSuccess(status) && a.chunks > 0 {
+		a.recordSurvival()
+	}
+}
+
+// maxLoggedParts bounds the prompt parts in a log line.
+const maxLoggedParts = 16
+
+// loggedIDs returns the ids of the parts that are logged.
+func loggedIDs(parts quarantine.Parts) []string {
+	ids := make([]string, 0, min(len(parts), maxLoggedParts))
+	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
--- a/routed/quarantine_test.go
+++ b/routed/quarantine_test.go
@@ -22,6 +22,8 @@
 	*testEntry
 	mu      sync.Mutex
 	crashes int
+	// onRequest, if set, is called when an endpoint receives a request.
+	onRequest func()
 }
 
 func newCrashingEntry(t *testing.T, count int) *crashingEntry {
--- a/routed/request.go
+++ b/routed/request.go
@@ -15,6 +15,7 @@
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/site"
 	"github.com/lilackeel/lilackeel/wait"
 )
@@ -42,8 +43,8 @@
 	work                 load.Work
 	// late is true if the caller is retrying and has already waited beyond the objective.
 	late bool
-	// promptParts are the ids of the parts of the prompt.
-	promptParts []string
+	// parts are the parts of the prompt.
+	parts quarantine.Parts
 	// fingerprint is equal for requests that are sent again under another id.
 	fingerprint call.Fingerprint
 }
@@ -88,7 +89,7 @@
 		q.work.PromptTokens, q.work.MaxTokens = s.config.Headers.Size(r.Header)
 	}
 	if s.config.Headers.PromptParts != nil {
-		q.promptParts = s.config.Headers.PromptParts(r.Header)
+		q.parts = quarantine.NewParts(q.pool, q.callerName(), s.config.Headers.PromptParts(r.Header))
 	}
 	if v := s.readBody(w, r, q, table); v != nil {
 		return q, v
