routed: the end of a response without a length is no proof that it is complete

A response that states neither a length nor chunks ends with its connection, and so does one whose endpoint crashes. An entry took both for complete: a caller could get the first part of a body or of a stream as the whole, and the request was cleared of the crash that it had caused. For such responses the entry now checks whether the endpoint's process still listens; if not, or if a stream had no event at all, the response counts as broken off.

TestResponseWithoutLength: three of its six cases fail without the change.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -55,6 +55,9 @@
 	Body io.ReadCloser
 	// Reused is true if the connection had already served a request.
 	Reused bool
+	// Unframed is true if the response states neither a length nor chunks and ends with its
+	// connection. It is then complete only as far as its content shows.
+	Unframed bool
 }
 
 // Send sends a request and waits for the head of its response. ctx applies to the whole
@@ -193,7 +196,7 @@
 		x.response = response
 		return &Response{
 			Status: response.StatusCode, Header: response.Header,
-			Body: &responseBody{x}, Reused: x.conn.reused,
+			Body: &responseBody{x}, Reused: x.conn.reused, Unframed: sent.Method != http.MethodHead && !x.framed(),
 		}, nil
 	}
 	return nil, errForeignResponses
@@ -222,9 +225,8 @@
 func (x *exchange) finish() {
 	x.once.Do(func() {
 		notCancelled := x.stop()
-		framed := x.response.ContentLength >= 0 || slices.Contains(x.response.TransferEncoding, "chunked")
 		idle := x.client.idleTimeout(x.response.Header)
-		if !notCancelled || !x.requestWritten.Load() || x.response.Close || !framed || idle <= 0 || x.conn.reader.Buffered() > 0 {
+		if !notCancelled || !x.requestWritten.Load() || x.response.Close || !x.framed() || idle <= 0 || x.conn.reader.Buffered() > 0 {
 			x.conn.close()
 			return
 		}
@@ -232,6 +234,11 @@
 	})
 }
 
+// framed reports whether the response states where it ends. Otherwise it ends with its connection.
+func (x *exchange) framed() bool {
+	return x.response.ContentLength >= 0 || slices.Contains(x.response.TransferEncoding, "chunked")
+}
+
 // idleTimeout returns how long a connection may be kept idle, according to the Keep-Alive
 // header.
 func (c *Client) idleTimeout(header http.Header) time.Duration {
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -133,6 +133,10 @@
 		a.recordResult(a.callerCtx.Err() == nil)
 		return a.interrupted(errIncompleteResponse(err), a.checkProcess())
 	}
+	if r.Unframed && a.checkProcess() == direct.NotListening {
+		a.recordResult(true)
+		return a.interrupted(errUnprovenEnd, direct.NotListening)
+	}
 	a.chunks = 1
 	if len(buffered) > s.config.MaxBufferedBytes {
 		return a.deliverUnbuffered(r, buffered)
@@ -168,6 +172,10 @@
 		n, err := r.Body.Read(buffer)
 		chunk = buffer[:n]
 		if errors.Is(err, io.EOF) {
+			if r.Unframed && a.checkProcess() == direct.NotListening {
+				a.recordResult(true)
+				return attemptResult{done: true, abort: true, outcome: call.Unknown.String(), fault: errUnprovenEnd}
+			}
 			a.recordResult(false)
 			a.recordCompletion(r.Status)
 			_, err = a.w.Write(chunk)
@@ -215,6 +223,10 @@
 			return a.streamBroken(fault.From(splitErr))
 		case errors.Is(err, io.EOF) && a.splitter.Partial():
 			return a.streamBroken(errIncompleteResponse(io.ErrUnexpectedEOF))
+		case errors.Is(err, io.EOF) && r.Unframed && a.isEmpty():
+			return a.streamBroken(errUnprovenEnd)
+		case errors.Is(err, io.EOF) && r.Unframed && a.checkProcess() == direct.NotListening:
+			return a.streamEnded(errUnprovenEnd, direct.NotListening)
 		case errors.Is(err, io.EOF):
 			a.recordResult(false)
 			a.recordCompletion(r.Status)
@@ -232,6 +244,12 @@
 	}
 }
 
+// isEmpty reports whether a stream from the beginning has had no event.
+func (a *attempt) isEmpty() bool {
+	_, resumes := a.splitter.LastID()
+	return a.chunks == 0 && !a.headWritten && !resumes
+}
+
 // recordChunk records the arrival of a chunk of the stream.
 func (a *attempt) recordChunk() {
 	now := a.server.clock()
@@ -314,6 +332,10 @@
 	a.w.WriteHeader(r.Status)
 }
 
+// errUnprovenEnd ends a response that states no length and may be incomplete: a stream without an
+// event, or a response that ended together with the endpoint's process.
+var errUnprovenEnd = fault.New(fault.Unknown, "the endpoint closed the connection of a response that states no length and may be incomplete", "retry the request")
+
 func errIncompleteResponse(err error) *fault.Error {
 	return fault.New(fault.Unknown, "the endpoint's response was truncated", "retry the request").WithCause(err)
 }
--- a/routed/promptparts_test.go
+++ b/routed/promptparts_test.go
@@ -183,3 +183,45 @@
 		is.True(known <= 3*33)
 	}
 }
+
+// Guards against taking the end of a response that states no length for proof that it is complete,
+// and that the request did not crash the endpoint, when the process ended with it. A stream that
+// ends between two events is complete otherwise, one that ends inside an event never is.
+func TestResponseWithoutLength(t *testing.T) {
+	stream := "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+	plain := "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nConnection: close\r\n\r\n"
+	for _, c := range []struct {
+		name, target, response string
+		crash                  bool
+		complete               bool
+	}{
+		{"body", "/once/x", plain + "whole", false, true},
+		{"body, process ended", "/once/x", plain + "who", true, false},
+		{"stream", "/stream/x", stream + formatEvents(1, 3), false, true},
+		{"stream, inside an event", "/stream/x", stream + formatEvents(1, 3) + "id: 4\ndata", false, false},
+		{"stream, process ended", "/stream/x", stream + formatEvents(1, 3), true, false},
+		{"stream, no event", "/stream/x", stream, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := &crashingEntry{}
+			m.testEntry = newTestEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				is.NoErr(err)
+				if c.crash {
+					_ = m.backends[0].Listener.Close()
+				}
+				_, _ = io.WriteString(conn, c.response)
+				_ = conn.Close()
+			})
+			m.server.config.Headers.PromptParts = splitParts
+			response, body, err := m.do(http.MethodPost, c.target, "", http.Header{partsHeader: {"shared,own"}})
+			is.Equal(err == nil && response.StatusCode == http.StatusOK, c.complete)
+			if c.complete {
+				is.True(strings.HasSuffix(c.response, "\r\n\r\n"+body))
+			}
+			known, _ := m.server.Quarantine.Parts().Counts(m.server.clock())
+			is.Equal(known > 0, c.crash) // the parts are suspects only where the process ended
+		})
+	}
+}
