routed: a second check of a process whose host did not answer the first

A link that loses the packet, or an entry short of processor time, left the end of an engine without a record, and a part of prompts that ends engines with less evidence against it. The entry asks once more 300 ms later, beside the request, which does not wait for it.

--- a/quarantine/parts_simulation_test.go
+++ b/quarantine/parts_simulation_test.go
@@ -324,6 +324,19 @@
 	}
 }
 
+// Guards against many requests that test at once, at several entries, whether the part still crashes
+// engines after its hold.
+func TestTrialsAfterTheHold(t *testing.T) {
+	for _, entries := range []int{5, 41} {
+		for seed := range uint64(20) {
+			s := newPartSimulation(seed, entries, 1, 16)
+			s.advance(10*time.Second, 75, 0)
+			s.advance(150*time.Second, 75, 4)
+			s.check(t, seed, 10, 150)
+		}
+	}
+}
+
 // Guards against forgetting the part when entries restart while its requests still come.
 func TestCrashingPartIsHeldAcrossRestarts(t *testing.T) {
 	for seed := range uint64(40) {
--- a/routed/quarantine.go
+++ b/routed/quarantine.go
@@ -1,9 +1,12 @@
 package routed
 
 import (
+	"context"
 	"log/slog"
+	"time"
 
 	"github.com/lilackeel/lilackeel/direct"
+	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/quarantine"
 )
@@ -28,28 +31,51 @@
 	if a.callerCtx.Err() != nil || a.rerouted.Load() {
 		return direct.ListenerUnknown
 	}
+	ended := processEnd{request: a.request, endpoint: a.target, at: a.server.clock(), ran: a.server.clock() - a.started, chunks: a.chunks}
 	state := a.server.Client.CheckListener(a.callerCtx, a.target.Addr)
 	switch {
 	case state == direct.NotListening:
-		a.recordCrash()
+		a.server.recordCrash(&ended)
 	case state == direct.Listening && a.chunks > 0:
 		// The endpoint had begun to answer and still runs, so the request did not crash it.
 		a.recordSurvival()
+	case state == direct.ListenerUnknown:
+		time.AfterFunc(recheckDelay, func() { a.server.recheckProcess(&ended) })
 	}
 	return state
 }
 
-// recordCrash records that the endpoint's process ended during the attempt.
-func (a *attempt) recordCrash() {
-	s, q := a.server, a.request
-	now, run := s.clock(), a.target.RunID()
+// recheckDelay is the time until the second check of a process whose host did not answer the first
+// one, for instance because the link lost the packet.
+const recheckDelay = 300 * time.Millisecond
+
+// processEnd describes an attempt whose endpoint's process has ended, or may have.
+type processEnd struct {
+	request  *request
+	endpoint endpoint.Endpoint
+	// at is when the attempt ended, ran is how long it took, and chunks is how many chunks of the
+	// response it had received.
+	at, ran time.Duration
+	chunks  int
+}
+
+// recheckProcess checks once more whether the process of an attempt has ended.
+func (s *Server) recheckProcess(e *processEnd) {
+	if s.Client.CheckListener(context.Background(), e.endpoint.Addr) == direct.NotListening {
+		s.recordCrash(e)
+	}
+}
+
+// recordCrash records that the endpoint's process ended during an attempt.
+func (s *Server) recordCrash(e *processEnd) {
+	q, run := e.request, e.endpoint.RunID()
 	s.metrics.processExits.Inc()
-	change := s.Quarantine.RecordCrash(now, q.fingerprint, run)
-	held := s.Quarantine.Parts().RecordCrash(now, q.parts, run)
-	s.Logger.LogAttrs(a.callerCtx, slog.LevelInfo, "an endpoint ended under a request",
-		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint), slog.String("endpoint", a.target.ID),
-		slog.Duration("ran", now-a.started), slog.Int("ends", change.Crashes), slog.Duration("hold", change.Hold),
-		slog.Any("prompt_parts", loggedIDs(q.parts)), slog.Int("prompt_part_count", len(q.parts)), slog.Int("chunks", a.chunks))
+	change := s.Quarantine.RecordCrash(e.at, q.fingerprint, run)
+	held := s.Quarantine.Parts().RecordCrash(e.at, q.parts, run)
+	s.Logger.LogAttrs(context.Background(), slog.LevelInfo, "an endpoint ended under a request",
+		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint), slog.String("endpoint", e.endpoint.ID),
+		slog.Duration("ran", e.ran), slog.Int("ends", change.Crashes), slog.Duration("hold", change.Hold),
+		slog.Any("prompt_parts", loggedIDs(q.parts)), slog.Int("prompt_part_count", len(q.parts)), slog.Int("chunks", e.chunks))
 	for i := range held {
 		quarantine.LogHeldPart(s.Logger, &held[i])
 	}
