entry: hold the chat messages that crash engines

The same cause on the path through agents: chats that have one crashing message in common and are not equal ended an engine with each attempt. The messages of a chat are the parts of its prompt now.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"log/slog"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -38,11 +37,17 @@
 	chunks int
 	// failed is true if the endpoint is the cause of the failure.
 	failed bool
+	// endTrial ends the trial of a quarantined part; see quarantine.PartTracker.BeginAttempt.
+	endTrial func()
 }
 
 // dispatch sends one attempt and waits for its first response.
 func (x *exchange) dispatch(a *call.Action) call.Action {
 	x.closeAttempt()
+	endTrial, refusal := x.beginAttempt()
+	if refusal != nil {
+		return x.repeatable.GiveUp(x.now(), refusal)
+	}
 	target := a.Target
 	if a.Offset > 0 {
 		target = x.refreshTarget(target)
@@ -52,7 +57,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := x.server
 	x.attempt = &attempt{
-		cancel: cancel, span: span, sentAt: x.now(),
+		cancel: cancel, span: span, sentAt: x.now(), endTrial: endTrial,
 		load: s.Loads.Sent(x.now(), target.Endpoint, x.request.work),
 	}
 	s.Quarantine.AttemptStarted(x.attempt.sentAt, x.request.fingerprint)
@@ -164,6 +169,7 @@
 		}
 	case *agentv1.DispatchResponse_Head:
 		a.failed = kind.Head.GetStatus() >= http.StatusInternalServerError
+		x.succeeded = kind.Head.GetStatus() < http.StatusMultipleChoices
 	case *agentv1.DispatchResponse_Broken:
 		a.failed = true
 		x.recordProcessExit(kind.Broken.GetEndedRun())
@@ -175,28 +181,6 @@
 	}
 }
 
-// recordProcessExit records that the endpoint's process has exited during the attempt. run names
-// the incarnation that has exited; it is empty if none has.
-func (x *exchange) recordProcessExit(run string) {
-	if run == "" {
-		return
-	}
-	x.server.metrics.processExits.Inc()
-	change := x.server.Quarantine.RecordCrash(x.now(), x.request.fingerprint, run)
-	x.server.Logger.LogAttrs(x.callerCtx, slog.LevelInfo, "an endpoint ended under a request",
-		slog.String("request_id", x.request.id), slog.Any("fingerprint", x.request.fingerprint), slog.String("endpoint", run),
-		slog.Duration("ran", x.now()-x.attempt.sentAt), slog.Int("ends", change.Crashes), slog.Duration("hold", change.Hold))
-}
-
-// recordCompletion records that an endpoint has run the request to completion. It names no
-// incarnation, since agents name one only after it has exited.
-func (x *exchange) recordCompletion() {
-	if cleared := x.server.Quarantine.RecordCompletion(x.now(), x.startedAt, x.request.fingerprint, ""); cleared > 0 {
-		x.server.Logger.LogAttrs(x.callerCtx, slog.LevelInfo, "cleared the recorded crashes of a request",
-			slog.String("request_id", x.request.id), slog.Any("fingerprint", x.request.fingerprint), slog.Int("ends", cleared))
-	}
-}
-
 // closeAttempt ends the attempt in progress, if there is one, and records its result for the
 // endpoint.
 func (x *exchange) closeAttempt() {
@@ -208,6 +192,7 @@
 	a.receiveTimer.Stop()
 	a.cancel()
 	a.span.End()
+	a.endTrial()
 	s, now := x.server, x.now()
 	s.Quarantine.AttemptEnded(now, x.request.fingerprint)
 	s.Loads.Done(now, &a.load, load.Result{Failed: a.failed, Tokens: a.chunks})
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -47,6 +47,9 @@
 	explain   pick.Explain
 	verdict   *call.Verdict
 	startedAt time.Duration
+	// succeeded is true if the last attempt was answered with a success status; endedUnanswered is
+	// true if an endpoint crashed before it answered the request, see errEndedUnanswered.
+	succeeded, endedUnanswered bool
 }
 
 // claimRecordTimeout is the timeout of each step of recording a claimed call whose caller already
@@ -56,7 +59,7 @@
 // run admits a parsed request and runs it to its end.
 func (s *Server) run(w http.ResponseWriter, r *http.Request, q *request) {
 	q.fingerprint = call.FingerprintOf(q.workspace.GetName(), q.method, q.requestURI, q.body)
-	if refusal := s.Quarantine.Refusal(s.now(), q.fingerprint); refusal != nil {
+	if refusal := s.quarantineRefusal(q); refusal != nil {
 		s.refuse(w, r, q.refusal(refusal))
 		return
 	}
@@ -235,8 +238,7 @@
 	_, span := telemetry.StartSpan(x.callerCtx, "pick")
 	defer span.End()
 	x.closeAttempt()
-	// A claimed call needs no check here: it is not sent again after it may have run.
-	if refusal := x.server.Quarantine.Refusal(x.now(), x.request.fingerprint); refusal != nil && x.repeatable != nil {
+	if refusal := x.retryRefusal(); refusal != nil {
 		return x.repeatable.GiveUp(x.now(), refusal)
 	}
 	target, err := x.chooseTarget(a.Exclude)
--- a/entry/models.go
+++ b/entry/models.go
@@ -8,6 +8,7 @@
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
+	"github.com/lilackeel/lilackeel/quarantine"
 )
 
 func (s *Server) serveChat(w http.ResponseWriter, r *http.Request) { s.serveCompletion(w, r, true) }
@@ -40,6 +41,7 @@
 	if f != nil {
 		return call.Refuse(f)
 	}
+	q.parts = quarantine.NewParts(target.model.GetPool(), q.workspace.GetName(), c.messageIDs())
 	text := c.promptText(nil)
 	tokens := len(text)/bytesPerToken + 1
 	q.kind = "completions"
--- a/entry/prompt.go
+++ b/entry/prompt.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -72,6 +73,16 @@
 	return text
 }
 
+// messageIDs returns an id for each message, which is the same for equal messages.
+func (c *completion) messageIDs() []string {
+	ids := make([]string, 0, len(c.Messages))
+	for i := range c.Messages {
+		m := &c.Messages[i]
+		ids = append(ids, strconv.FormatUint(xxhash.Sum64String(m.Role+"\n"+string(m.Content)), 16))
+	}
+	return ids
+}
+
 // appendText appends the decoded text of a JSON string, or any other value in its JSON form.
 func appendText(text []byte, raw json.RawMessage) []byte {
 	if len(raw) == 0 || raw[0] != '"' {
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -92,3 +92,33 @@
 		is.Equal(refused.Header().Get(call.HeaderOutcome), "unknown") // it may have run
 	})
 }
+
+// Guards against chats that crash engine after engine although no two are alike: one message that
+// they have in common is the cause, and sound chats share their other messages.
+func TestCrashingMessageIsQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		m := newCrashingEngines()
+		s := m.server()
+		chat := func(messages ...string) string {
+			var body strings.Builder
+			for i, content := range messages {
+				if i > 0 {
+					body.WriteString(",")
+				}
+				body.WriteString(`{"role":"user","content":"` + content + `"}`)
+			}
+			return `{"model":"draft","messages":[` + body.String() + `]}`
+		}
+		for i := range 10 {
+			sound, _ := sendPost(s, t.Context(), chatPath, chat("shared", "another "+strconv.Itoa(i)))
+			is.Equal(sound.Code, http.StatusOK)
+			sendPost(s, t.Context(), chatPath, chat("shared", crashingBody, "own "+strconv.Itoa(i)))
+			time.Sleep(4 * time.Second)
+		}
+		is.Equal(m.crashes, 3)
+		refused, _ := sendPost(s, t.Context(), chatPath, chat(crashingBody, "own"))
+		is.Equal(refused.Code, http.StatusServiceUnavailable)
+		is.Equal(refused.Header().Get(call.HeaderOutcome), "not-run")
+	})
+}
--- a/entry/request.go
+++ b/entry/request.go
@@ -12,6 +12,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/quarantine"
 )
 
 // Headers that callers may send in addition to the standard ones.
@@ -68,6 +69,8 @@
 	kind string
 	pick pick.Request
 	work load.Work
+	// parts are the messages of a chat prompt.
+	parts quarantine.Parts
 	// fingerprint identifies equal requests; it does not depend on the request id.
 	fingerprint call.Fingerprint
 }
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -56,3 +56,15 @@
 	}
 	return false
 }
+
+// maxLoggedParts bounds the parts in a log line.
+const maxLoggedParts = 16
+
+// LoggedIDs returns the ids of the first parts, for logs.
+func (p Parts) LoggedIDs() []string {
+	ids := make([]string, 0, min(len(p), maxLoggedParts))
+	for _, part := range p[:min(len(p), maxLoggedParts)] {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
--- a/routed/quarantine.go
+++ b/routed/quarantine.go
@@ -75,7 +75,7 @@
 	s.Logger.LogAttrs(context.Background(), slog.LevelInfo, "an endpoint ended under a request",
 		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint), slog.String("endpoint", e.endpoint.ID),
 		slog.Duration("ran", e.ran), slog.Int("ends", change.Crashes), slog.Duration("hold", change.Hold),
-		slog.Any("prompt_parts", loggedIDs(q.parts)), slog.Int("prompt_part_count", len(q.parts)), slog.Int("chunks", e.chunks))
+		slog.Any("prompt_parts", q.parts.LoggedIDs()), slog.Int("prompt_part_count", len(q.parts)), slog.Int("chunks", e.chunks))
 	for i := range held {
 		quarantine.LogHeldPart(s.Logger, &held[i])
 	}
@@ -102,15 +102,3 @@
 		a.recordSurvival()
 	}
 }
-
-// maxLoggedParts bounds the prompt parts in a log line.
-const maxLoggedParts = 16
-
-// loggedIDs returns the ids of the parts that are logged.
-func loggedIDs(parts quarantine.Parts) []string {
-	ids := make([]string, 0, min(len(parts), maxLoggedParts))
-	for _, part := range parts[:min(len(parts), maxLoggedParts)] {
-		ids = append(ids, part.ID)
-	}
-	return ids
-}
