--- a/routed/capacity_test.go
+++ b/routed/capacity_test.go
@@ -91,3 +91,46 @@
 	}
 	is.True(groupLoad{engines: 1}.maxGrowth(0, 5) > 1000) // without a promised gap there is no growth limit
 }
+
+// Guards against an entry that refuses what it could serve when most new connections go to it: its
+// share of the capacity must follow the traffic within the 3 s that are allowed. The calls last a
+// second each, and the others' calls end as they are not replaced.
+func TestEntryTakesOverTheTrafficOfOthers(t *testing.T) {
+	for _, site := range []struct {
+		entries, engines int
+		limit, perSecond float64
+		// taken is the share of all traffic that goes to the one entry.
+		taken float64
+	}{{5, 16, 190, 75, 1}, {5, 16, 100, 75, 0.8}, {13, 32, 320, 200, 1}, {41, 192, 1900, 1000, 1}} {
+		is := is.New(t)
+		perUpdate := site.perSecond * CapacityUpdateInterval.Seconds()
+		updates := int(time.Second / CapacityUpdateInterval)
+		// begun holds the calls that the entry and the others have begun in each of the last updates.
+		own, others := make([]float64, updates), make([]float64, updates)
+		for i := range updates {
+			own[i], others[i] = perUpdate/float64(site.entries), perUpdate*float64(site.entries-1)/float64(site.entries)
+		}
+		sum := func(calls []float64) (total float64) {
+			for _, c := range calls {
+				total += c
+			}
+			return total
+		}
+		waiting, served, arrived := 0.0, 0.0, 0.0
+		for i := range 10 * updates {
+			own, others = append(own[1:], 0), append(others[1:], perUpdate*(1-site.taken))
+			load := groupLoad{engines: site.engines, slots: 12 * site.engines, ownCalls: int(sum(own)), running: sum(own) + sum(others)}
+			limit := min(load.callLimit(site.limit, site.entries), load.ownCalls+load.maxGrowth(burstMaxGap, site.entries))
+			waiting += perUpdate * site.taken
+			begun := min(waiting, max(float64(limit)-sum(own), 0))
+			own[updates-1] = begun
+			// Callers wait half a second at most.
+			waiting = min(waiting-begun, perUpdate*site.taken*5)
+			if i >= 3*updates {
+				served, arrived = served+begun, arrived+perUpdate*site.taken
+			}
+		}
+		t.Logf("%d entries: %.2f of the requests are served from 3 s on", site.entries, served/arrived)
+		is.True(served >= 0.75*arrived)
+	}
+}
