--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -49,3 +49,43 @@
 		tracker.AttemptEnded(0, f)
 	}
 }
+
+// BenchmarkPartsOfRequest measures what a request with three parts costs while a part is held.
+func BenchmarkPartsOfRequest(b *testing.B) {
+	tracker := NewTracker().Parts()
+	for i := range 3 {
+		tracker.RecordCrash(time.Duration(i)*4*time.Second, NewParts("pool", "crew", []string{"crash"}), strconv.Itoa(i))
+	}
+	ids := []string{"5c1e07a2", "91bd3f06", ""}
+	for i := range b.N {
+		ids[2] = strconv.Itoa(i)
+		parts := NewParts("pool", "crew", ids)
+		if tracker.Refusal(9*time.Second, parts) != nil {
+			b.Fatal("refused")
+		}
+		end, _ := tracker.BeginAttempt(9*time.Second, parts)
+		tracker.RecordSurvival(10*time.Second, 9*time.Second, parts, "run")
+		end()
+	}
+}
+
+// BenchmarkMergePartReports measures one batch of reports on new parts at an entry that tracks as many
+// as it may, of which 32 are candidates.
+func BenchmarkMergePartReports(b *testing.B) {
+	tracker := NewTracker()
+	ids := make([]string, maxPartsPerRequest-1)
+	for i := range ids {
+		ids[i] = "held " + strconv.Itoa(i)
+	}
+	for i := range maxRuns {
+		tracker.Parts().RecordCrash(time.Duration(i)*4*time.Second, NewParts("pool", "crew", ids), strconv.Itoa(i))
+	}
+	for n := 0; b.Loop(); {
+		reports := make([]CrashReport, maxBatch)
+		for i := range reports {
+			n++
+			reports[i] = CrashReport{Request: call.PartFingerprint("pool", strconv.Itoa(n)), Run: uint64(n / 16), At: time.Duration(n)}
+		}
+		tracker.Merge(time.Minute, reports)
+	}
+}
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -1,4 +1,5 @@
-// Package quarantine refuses requests that repeatedly crash the endpoint processes that run them.
+// Package quarantine refuses requests that repeatedly crash the endpoint processes that run them, and
+// requests with a part of a prompt that does.
 //
 // Callers retry such a request under a new request id and through any entry, so it is recognised by
 // its fingerprint. When a process crashes, every request that it was running becomes a suspect: the
@@ -15,6 +16,21 @@
 // A held request is refused without being run. The hold grows with each further crash and then
 // expires, so that a request held by mistake can run again.
 //
+// Requests that are not equal may still have the cause in common, a part of their prompts, which
+// PartTracker looks for. A crash counts against each part of each request that the process was
+// running; what acquits a part is that requests with it run:
+//
+//   - a request that runs clears its parts of all their crashes so far, and gives them credit;
+//   - a part with credit is not blamed for a crash, which halves the credit: the parts that sound
+//     requests share outlast a series of crashes, and a part that becomes harmful does not;
+//   - processes that crash at about the same time are one event, since the engines of a lock-step
+//     group and the processes of a rack end together whatever they run;
+//   - a crash is attributed to the part with the most crashes on the process, and parts that have
+//     met the same crashes are held together only: a request must have all of them to be refused.
+//
+// A held part is released by the first request with it that runs. After each hold, each entry lets one
+// request at a time test it.
+//
 // Entries publish their crash reports to some of the hosts whose load reports all entries read
 // (Registry) and merge the reports of other entries (Tracker.Merge). The control replicas are not
 // involved.
--- a/quarantine/partrecord.go
+++ b/quarantine/partrecord.go
@@ -26,6 +26,10 @@
 // partRecord is what is known of one part.
 type partRecord struct {
 	crashes map[uint64]partCrash
+	// uncleared is the number of crashes that the part has not been cleared of, and lastCrash the
+	// time of the last crash.
+	uncleared int
+	lastCrash time.Duration
 	// id is the callers' name of the part, empty until a request with it has been seen here.
 	id string
 	// survived is the number of requests with the part that have run without a crash at this entry
@@ -54,15 +58,22 @@
 	cleared bool
 }
 
-// uncleared returns the number of crashes that the part has not been cleared of.
-func (r *partRecord) uncleared() int {
-	count := 0
-	for _, crash := range r.crashes {
-		if !crash.cleared {
-			count++
-		}
+// set stores a crash.
+func (r *partRecord) set(run uint64, crash partCrash) {
+	r.remove(run)
+	r.crashes[run] = crash
+	r.lastCrash = max(r.lastCrash, crash.at)
+	if !crash.cleared {
+		r.uncleared++
+	}
+}
+
+// remove deletes a crash, if there is one of this run.
+func (r *partRecord) remove(run uint64) {
+	if r.isUnclearedOf(run) {
+		r.uncleared--
 	}
-	return count
+	delete(r.crashes, run)
 }
 
 // isUnclearedOf reports whether the part was on a crashed run and has not been cleared of the crash.
@@ -73,7 +84,7 @@
 
 // sameCrashes reports whether two parts have the same uncleared crashes.
 func (r *partRecord) sameCrashes(other *partRecord) bool {
-	if r.uncleared() != other.uncleared() {
+	if r.uncleared != other.uncleared {
 		return false
 	}
 	for run, crash := range r.crashes {
@@ -84,15 +95,6 @@
 	return true
 }
 
-// lastCrash returns the time of the last crash.
-func (r *partRecord) lastCrash() time.Duration {
-	var last time.Duration
-	for _, crash := range r.crashes {
-		last = max(last, crash.at)
-	}
-	return last
-}
-
 // oldestRun returns the run with the oldest crash.
 func (r *partRecord) oldestRun() (oldest uint64) {
 	found := false
@@ -136,6 +138,5 @@
 
 // stale reports whether the last crash is longer ago than both reportRetention and twice the hold.
 func (r *partRecord) stale(now time.Duration) bool {
-	last := r.lastCrash()
-	return now-last > max(reportRetention, 2*(r.heldUntil-last))
+	return now-r.lastCrash > max(reportRetention, 2*(r.heldUntil-r.lastCrash))
 }
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -127,7 +127,7 @@
 		t.registry.Add(report)
 	}
 	crash.cleared = crash.cleared || report.Cleared
-	r.crashes[report.Run] = crash
+	r.set(report.Run, crash)
 	t.updateCandidate(report.Request, r)
 }
 
@@ -156,7 +156,7 @@
 func (t *PartTracker) addRun(r *partRecord, run uint64) {
 	if len(r.crashes) >= maxPartRuns {
 		oldest := r.oldestRun()
-		delete(r.crashes, oldest)
+		r.remove(oldest)
 		t.releaseRun(oldest)
 	}
 	t.runs[run]++
@@ -169,7 +169,7 @@
 }
 
 func (t *PartTracker) updateCandidate(f call.Fingerprint, r *partRecord) {
-	if r.uncleared() >= minCrashes {
+	if r.uncleared >= minCrashes {
 		t.candidates[f] = r
 	} else {
 		delete(t.candidates, f)
@@ -254,7 +254,7 @@
 // cleared of and that no other candidate with more crashes explains.
 func (t *PartTracker) evidence(f call.Fingerprint, r *partRecord) []time.Duration {
 	var times []time.Duration
-	own := r.uncleared()
+	own := r.uncleared
 	for run, crash := range r.crashes {
 		if !crash.cleared && !t.explained(f, run, own) {
 			times = append(times, crash.at)
@@ -267,7 +267,7 @@
 // was on the same run.
 func (t *PartTracker) explained(f call.Fingerprint, run uint64, crashes int) bool {
 	for other, r := range t.candidates {
-		if other != f && r.isUnclearedOf(run) && r.uncleared() > crashes {
+		if other != f && r.isUnclearedOf(run) && r.uncleared > crashes {
 			return true
 		}
 	}
@@ -455,10 +455,10 @@
 }
 
 func (r *partRecord) evictedBefore(other *partRecord) bool {
-	if own, others := r.uncleared(), other.uncleared(); own != others {
+	if own, others := r.uncleared, other.uncleared; own != others {
 		return own < others
 	}
-	return r.lastCrash() < other.lastCrash()
+	return r.lastCrash < other.lastCrash
 }
 
 // remove deletes a part. The caller must hold the lock.
