--- a/entry/ratelimits_test.go
+++ b/entry/ratelimits_test.go
@@ -19,6 +19,7 @@
 	"github.com/lilackeel/lilackeel/endpoint"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/routed"
 	"github.com/lilackeel/lilackeel/standin"
 	"github.com/lilackeel/lilackeel/wait"
 )
@@ -26,8 +27,13 @@
 // routedFleet is a pool of plain services behind several entries, which are connected to hosts but
 // to no control replica.
 type routedFleet struct {
-	t           *testing.T
-	services    []*standin.Service
+	t        *testing.T
+	services []*standin.Service
+	backends []*httptest.Server
+	// headers are the names of the headers at the entries, the default ones if zero. onRequest, if
+	// set, is called when a request has reached a service.
+	headers     routed.Headers
+	onRequest   func(service int, r *http.Request)
 	delta       *fleetv1.Delta
 	entries     []*httptest.Server
 	configurers []*configurer
@@ -79,10 +85,13 @@
 		service := standin.NewService(time.Millisecond)
 		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			f.countArrival(i, r.URL.Path)
+			if f.onRequest != nil {
+				f.onRequest(i, r)
+			}
 			service.ServeHTTP(w, r)
 		}))
 		t.Cleanup(backend.Close)
-		f.services = append(f.services, service)
+		f.services, f.backends = append(f.services, service), append(f.backends, backend)
 		f.addServingEndpoint(&fleetv1.Endpoint{Id: fmt.Sprint("e", i), Pool: "pool", Addr: strings.TrimPrefix(backend.URL, "http://"), Slots: 64})
 	}
 	for i := range hosts {
@@ -118,7 +127,7 @@
 	f.t.Helper()
 	d, err := New(Config{
 		Name: fmt.Sprint("entry-", len(f.entries)), Zone: "a", Listen: "127.0.0.1:0", Feed: []string{"127.0.0.1:1"}, Control: []string{"127.0.0.1:1"},
-		Routed: true, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10, BodyTimeout: time.Second, WriteTimeout: time.Second, MaxBufferedBytes: 64 << 10,
+		Routed: true, Headers: f.headers, MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 10, BodyTimeout: time.Second, WriteTimeout: time.Second, MaxBufferedBytes: 64 << 10,
 		RetryAfter: 250 * time.Millisecond, RetryRatio: 0.1, RetryBurst: 10, MaxWait: 300 * time.Millisecond, MaxRetryAfter: maxRetryAfter,
 		ReportInterval: 20 * time.Millisecond, Peers: 1, Link: link.Config{},
 	}, slog.New(slog.DiscardHandler))
@@ -135,6 +144,7 @@
 		_ = d.pool.Close()
 	})
 	go d.configurer.reports.publishSuspicions(f.t.Context())
+	go d.configurer.reports.publishCrashReports(f.t.Context())
 	f.startCallers(front.URL, http.MethodGet, rate)
 	return d
 }
