entry: the test of leaving endpoints waits until each entry knows

TestLeavingEndpointGetsNoFirstAttempts failed now and then: one request reached the leaving endpoint. The product behaves as promised, the test's premise did not hold: each entry chooses the endpoint some ten times a second, at random.

--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -18,12 +19,27 @@
 	f.t.Helper()
 	f.awaitArrivals(service, len(f.entries)*2)
 	f.services[service].SetFaults(standin.Faults{Leaving: true, Status: f.services[service].Faults().Status})
-	time.Sleep(500 * time.Millisecond) // all entries have received such an answer
+	f.awaitLeavingKnown(service)
+	time.Sleep(100 * time.Millisecond) // requests in flight have arrived
 	announcedAt := time.Now()
 	time.Sleep(2 * time.Second)
 	return f.services[service].MaxArrivals(announcedAt, time.Minute)
 }
 
+// awaitLeavingKnown waits until each entry has received an answer in which a service announces its
+// shutdown. Callers choose at random, so that no fixed time suffices.
+func (f *routedFleet) awaitLeavingKnown(service int) {
+	f.t.Helper()
+	id := fmt.Sprint("e", service)
+	for i, c := range f.configurers {
+		for end := time.Now().Add(10 * time.Second); !c.reports.limits.Restrictions()[id].Leaving; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				f.t.Fatalf("entry %d has not taken note of an announced shutdown", i)
+			}
+		}
+	}
+}
+
 // Guards against first attempts at an endpoint that has announced its shutdown in its answers, when
 // no control replica knows of it yet.
 func TestLeavingEndpointGetsNoFirstAttempts(t *testing.T) {
