quarantine, routed, entry: a test for each rule of the evidence

Taken out one by one, seven rules of the quarantine of parts had no test that failed: credit once for each event, refutation, published clearing, eviction, error status, interrupted streams, the second check. Each has one now.

--- a/entry/publish_test.go
+++ b/entry/publish_test.go
@@ -161,7 +161,9 @@
 		return quarantine.NewParts("pool", "crew", []string{"shared", "crash", own})
 	}
 	sound := quarantine.NewParts("pool", "crew", []string{"shared", "sound"})
-	entries[0].Parts().RecordSurvival(now, now, sound, "e0")
+	for range 8 {
+		entries[0].Parts().RecordSurvival(now, now, sound, "e0")
+	}
 	for i, crashes := range entries {
 		at := now - time.Duration(i)*5*time.Second
 		crashes.Parts().RecordCrash(at, request("own "+string(rune('1'+i))), "e"+string(rune('1'+i)))
@@ -170,6 +172,14 @@
 		awaitPartHeld(t, crashes, request("another"), true)
 		awaitPartHeld(t, crashes, sound, false)
 	}
+	// The entry with credit for the shared part clears it of the crashes that the others have seen.
+	for _, crashes := range entries {
+		for end := time.Now().Add(20 * time.Second); crashes.Parts().State(now, sound[0].Fingerprint).Crashes > 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the shared part is still blamed")
+			}
+		}
+	}
 	started := startSubscriber(t, first)
 	awaitPartHeld(t, started, request("another"), true)
 	awaitPartHeld(t, started, sound, false)
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -96,3 +96,20 @@
 	is.Equal(len(tracker.Parts().runs), 0)
 	is.Equal(tracker.Parts().suspectCount.Load(), int64(0))
 }
+
+// Guards against blaming the parts of sound requests for a series of joint crashes: the credit is
+// spent once for each event, not for each process.
+func TestCreditIsSpentOncePerEvent(t *testing.T) {
+	is := is.New(t)
+	tracker := NewTracker().Parts()
+	for range int(maxCredit) {
+		tracker.RecordSurvival(0, 0, parts("shared", "own"), "x")
+	}
+	for event := range 4 {
+		for engine := range 6 {
+			tracker.RecordCrash(time.Duration(event)*4*time.Second, parts("shared", "own"), strconv.Itoa(10*event+engine))
+		}
+	}
+	is.Equal(tracker.State(12*time.Second, parts("shared")[0].Fingerprint).Crashes, 0)
+	is.True(tracker.Proven(parts("shared", "own")))
+}
--- a/routed/promptparts_test.go
+++ b/routed/promptparts_test.go
@@ -41,6 +41,11 @@
 				answerOK(w, r)
 				return
 			}
+			if m.failing.Load() {
+				w.Header().Set(signature, "s")
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
 			m.crash(i)
 			panic(http.ErrAbortHandler)
 		}
@@ -225,3 +230,56 @@
 		})
 	}
 }
+
+// Guards against clearing a crashing part because an endpoint answered a request with it with an
+// error status, which does not show that it began to answer the prompt.
+func TestErrorStatusIsNoProofForParts(t *testing.T) {
+	is := is.New(t)
+	m, skipped := newPartsEntry(t, 12)
+	crash := func(id int) {
+		m.sendParts("/once/x", id, crashingPart, strconv.Itoa(id))
+		skipped.Add(int64(4 * time.Second))
+	}
+	crash(1)
+	crash(2)
+	m.failing.Store(true)
+	is.Equal(m.sendParts("/once/x", 3, crashingPart, "3").StatusCode, http.StatusInternalServerError)
+	m.failing.Store(false)
+	crash(4)
+	is.Equal(m.sendParts("/once/x", 5, crashingPart, "5").StatusCode, http.StatusServiceUnavailable)
+	is.Equal(m.crashCount(), 3)
+}
+
+// Guards against blaming the parts of a stream that was interrupted while its endpoint's process
+// lived on, as at the other ranks of a group of which one has crashed.
+func TestInterruptedStreamProvesItsParts(t *testing.T) {
+	is := is.New(t)
+	m := &crashingEntry{}
+	m.testEntry = newTestEntry(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(signature, "s")
+		writeEvents(w, 1, 2)
+		panic(http.ErrAbortHandler)
+	})
+	m.server.config.Headers.PromptParts = splitParts
+	m.sendParts("/stream/x", 1, "shared", "own")
+	is.True(m.server.Quarantine.Parts().Proven(quarantine.NewParts("pool", "crew", []string{"shared", "another"})))
+}
+
+// Guards against a crash without a record because the host did not answer the first check.
+func TestSecondCheckRecordsACrash(t *testing.T) {
+	is := is.New(t)
+	m, _ := newPartsEntry(t, 2)
+	ended := func(id string) *processEnd {
+		e, _ := m.table.Get(id)
+		return &processEnd{request: &request{parts: quarantine.NewParts("pool", "crew", []string{id, "own"})}, endpoint: e}
+	}
+	m.server.recheckProcess(ended("e1"))
+	known, _ := m.server.Quarantine.Parts().Counts(0)
+	is.Equal(known, 0) // the process listens
+	crashed := ended("e1")
+	m.crash(0)
+	m.server.recheckProcess(crashed)
+	known, _ = m.server.Quarantine.Parts().Counts(0)
+	is.Equal(known, 2)
+}
--- a/routed/quarantine_test.go
+++ b/routed/quarantine_test.go
@@ -24,6 +24,8 @@
 	crashes int
 	// onRequest, if set, is called when an endpoint receives a request.
 	onRequest func()
+	// failing endpoints answer with an error status instead of a crash.
+	failing atomic.Bool
 }
 
 func newCrashingEntry(t *testing.T, count int) *crashingEntry {
