--- a/operator/summary.go
+++ b/operator/summary.go
@@ -52,9 +52,20 @@
 	// printed.
 	levelCounts map[levelKey]map[string]int
 	causes      map[string]*causeCount
-	// endedEndpoints holds the endpoints whose processes ended during a request, by
-	// the fingerprint of the request.
-	endedEndpoints map[string]map[string]bool
+	// endedByRequest and endedByPart hold the endpoints whose processes ended during requests, by the
+	// fingerprint of the request and by the parts of its prompt.
+	endedByRequest, endedByPart endedEndpoints
+}
+
+// endedEndpoints holds endpoints whose processes ended during a request, by what the requests have in
+// common.
+type endedEndpoints map[string]map[string]bool
+
+func (e endedEndpoints) add(common, endpoint string) {
+	if e[common] == nil {
+		e[common] = map[string]bool{}
+	}
+	e[common][endpoint] = true
 }
 
 // summaryKey identifies a row.
@@ -77,7 +88,7 @@
 }
 
 func newLogSummary(lines []logLine) *logSummary {
-	summary := &logSummary{outcomeCounts: map[summaryKey]map[string]int{}, levelCounts: map[levelKey]map[string]int{}, causes: map[string]*causeCount{}, endedEndpoints: map[string]map[string]bool{}}
+	summary := &logSummary{outcomeCounts: map[summaryKey]map[string]int{}, levelCounts: map[levelKey]map[string]int{}, causes: map[string]*causeCount{}, endedByRequest: endedEndpoints{}, endedByPart: endedEndpoints{}}
 	for i := range lines {
 		summary.add(&lines[i])
 	}
@@ -100,11 +111,12 @@
 	case messageRetry:
 		s.countCause(line, messageRetry)
 	case messageEndpointEnded:
-		fingerprint := line.stringField("fingerprint")
-		if s.endedEndpoints[fingerprint] == nil {
-			s.endedEndpoints[fingerprint] = map[string]bool{}
+		ended := line.stringField("endpoint")
+		s.endedByRequest.add(line.stringField("fingerprint"), ended)
+		parts, _ := line.fields["prompt_parts"].([]any)
+		for _, part := range parts {
+			s.endedByPart.add(fmt.Sprint(part), ended)
 		}
-		s.endedEndpoints[fingerprint][line.stringField("endpoint")] = true
 	}
 }
 
@@ -154,7 +166,8 @@
 	s.writeOutcomes(w)
 	s.writeLevels(w)
 	s.writeCauses(w)
-	s.writeEndedEndpoints(w)
+	s.endedByRequest.write(w, "REQUEST FINGERPRINT")
+	s.endedByPart.write(w, "PROMPT PART")
 }
 
 // outcomeColumns are the outcomes that the rows have a column for.
@@ -238,25 +251,24 @@
 	}
 }
 
-// writeEndedEndpoints prints the requests during which the processes of more than one
-// endpoint ended.
-func (s *logSummary) writeEndedEndpoints(w io.Writer) {
-	var fingerprints []string
-	for fingerprint, endpoints := range s.endedEndpoints {
+// write prints what the processes of more than one endpoint ended under.
+func (e endedEndpoints) write(w io.Writer, title string) {
+	var names []string
+	for name, endpoints := range e {
 		if len(endpoints) > 1 {
-			fingerprints = append(fingerprints, fingerprint)
+			names = append(names, name)
 		}
 	}
-	if len(fingerprints) == 0 {
+	if len(names) == 0 {
 		return
 	}
-	slices.SortFunc(fingerprints, func(a, b string) int {
-		return cmp.Or(cmp.Compare(len(s.endedEndpoints[b]), len(s.endedEndpoints[a])), cmp.Compare(a, b))
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(len(e[b]), len(e[a])), cmp.Compare(a, b))
 	})
 	fmt.Fprintln(w)
-	ended := newTable(w, "ENDPOINTS ENDED", "REQUEST FINGERPRINT")
-	for _, fingerprint := range fingerprints {
-		ended.row(strconv.Itoa(len(s.endedEndpoints[fingerprint])), fingerprint)
+	ended := newTable(w, "ENDPOINTS ENDED", title)
+	for _, name := range names[:min(len(names), maxSummaryCauses)] {
+		ended.row(strconv.Itoa(len(e[name])), name)
 	}
 	ended.flush()
 }
--- a/operator/summary_test.go
+++ b/operator/summary_test.go
@@ -15,6 +15,8 @@
 const endpointEndedLog = `{"time":"2026-09-24T18:45:51.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-a","fingerprint":"f00d","endpoint":"e1","ends":1}
 {"time":"2026-09-24T18:45:52.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-a","fingerprint":"beef","endpoint":"e1","ends":1}
 {"time":"2026-09-24T18:45:53.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-b","fingerprint":"f00d","endpoint":"e2","ends":2}
+{"time":"2026-09-24T18:45:54.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-b","fingerprint":"aaaa","endpoint":"e3","ends":1,"prompt_parts":["shared","crash","own1"]}
+{"time":"2026-09-24T18:45:55.000000000Z","level":"INFO","msg":"an endpoint ended under a request","daemon":"lilackeel-entry","host":"front-a","fingerprint":"bbbb","endpoint":"e4","ends":1,"prompt_parts":["crash","own2"]}
 `
 
 // levelLog holds lines about requests of several levels in one pool, and of one level in another.
@@ -53,6 +55,8 @@
 	is.True(has("mixed", "12", "1", "1", "0", "0"))
 	is.True(!has("uniform", "7", "1", "0", "0", "0"))
 	is.True(has("2", "f00d"))                // two endpoints ended during it
+	is.True(has("2", "crash"))               // two endpoints ended during requests with this part
+	is.True(!strings.Contains(text, "own1")) // one during those with these
 	is.True(!strings.Contains(text, "beef")) // only one endpoint ended during it
 }
 
