quarantine: a failing test of a part when all entries and hosts lose their memory

All memory is lost at once; entries and hosts have no disk, and the control replicas do not keep what is held.

--- a/quarantine/parts_simulation_test.go
+++ b/quarantine/parts_simulation_test.go
@@ -84,6 +84,14 @@
 	return &simulatedEntry{tracker: tracker}
 }
 
+// restartAll makes all entries and hosts lose their memory at once.
+func (s *partSimulation) restartAll() {
+	for i := range s.entries {
+		s.entries[i] = s.newEntry(len(s.entries))
+	}
+	s.reports = nil
+}
+
 // restart makes an entry lose its memory; it gets the snapshots of the others from the hosts.
 func (s *partSimulation) restart(i int) {
 	s.entries[i] = s.newEntry(len(s.entries))
@@ -363,3 +371,19 @@
 		s.check(t, seed, 10, 50)
 	}
 }
+
+// Guards against a part that reaches engines as before when all entries and hosts lose their memory at
+// once, after its fifth crash.
+func TestCrashingPartIsHeldAfterAllRestart(t *testing.T) {
+	late := map[int]int{}
+	for seed := range uint64(40) {
+		s := newPartSimulation(seed, 5, 1, 16)
+		s.advance(10*time.Second, 75, 0)
+		s.advance(30*time.Second, 75, 2)
+		s.restartAll()
+		s.advance(60*time.Second, 75, 2)
+		late[s.reached]++
+		s.checkReached(t, seed)
+	}
+	t.Logf("requests that reached engines late, and on how many seeds: %v", late)
+}
