entry: limit the idle connections of callers

When most new connections of a zone go to one entry and callers open more of them, idle ones stay for -caller-idle (60 s), whatever their number: at 75 new connections a second 4,500, more than the 4,100 descriptors of an entry on the users' platform; connections to endpoints would fail as well (computed, not seen). Above half of the descriptors an entry with -routed now closes each connection after its response, which tells the caller so. -max-files states the descriptors; the platform fills it in.

--- a/entry/config.go
+++ b/entry/config.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"math"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/lilackeel/lilackeel/answer"
@@ -78,6 +80,9 @@
 	LeastShare float64
 	// CallerIdle is how long an idle connection of a caller is kept open.
 	CallerIdle time.Duration
+	// MaxFiles is the number of descriptors that the process may open; zero means the limit of the
+	// operating system.
+	MaxFiles int
 	// DrainDelay is how long a stopping entry still accepts new requests after it has become
 	// unready, so that the load balancer in front of it can stop sending them.
 	DrainDelay time.Duration
@@ -116,6 +121,7 @@
 	s.Bool(&cfg.MeasureSpeed, "measure-speed", false, "judge the endpoints of all pools that report no slowdown by their response times, instead of only those of pools with a cold start")
 	s.Float(&cfg.LeastShare, "least-share", overload.DefaultLeastShare, "share of a pool's capacity that each level of priority gets whatever the demand of higher-priority ones; half the capacity for all levels together at most", setting.Min(0.0), setting.Max(0.5))
 	s.Duration(&cfg.CallerIdle, "caller-idle", idleTimeout, "how long an idle connection of a caller is kept open", setting.Min(time.Second))
+	s.Int(&cfg.MaxFiles, "max-files", 0, "descriptors that the process may open; above half as many connections of callers, an entry with -routed closes each after its response; 0 for the limit of the operating system", setting.Min(0))
 	s.Duration(&cfg.DrainDelay, "drain-delay", 2*time.Second, "how long a stopping entry that is no longer ready still accepts requests", setting.Min(time.Duration(0)))
 	s.Duration(&cfg.StopLimit, "stop-limit", 30*time.Second, "longest planned stop of an entry with -routed; requests still in flight are aborted", setting.Min(time.Second))
 	telemetry.RegisterSettings(s, &cfg.Telemetry)
@@ -176,6 +182,20 @@
 	return &policy
 }
 
+// maxKeptConnections returns the number of callers' connections that may stay open after a response,
+// zero for no limit: half of the descriptors, since requests need others to the endpoints.
+func (cfg *Config) maxKeptConnections() int {
+	files := cfg.MaxFiles
+	if files == 0 {
+		var limit syscall.Rlimit
+		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+			return 0
+		}
+		files = int(min(limit.Cur, math.MaxInt32))
+	}
+	return files / 2
+}
+
 // budget returns the retry budget shared by all requests.
 func (cfg *Config) budget() call.BudgetConfig {
 	return call.BudgetConfig{Ratio: cfg.RetryRatio, MinPerSecond: call.DefaultBudget.MinPerSecond, Burst: cfg.RetryBurst}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -189,9 +189,12 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       d.config.CallerIdle,
 		MaxHeaderBytes:    headerHardLimit,
-		ConnState:         guard.ConnState,
-		ConnContext:       guard.ConnContext,
-		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+		ConnState: func(c net.Conn, state http.ConnState) {
+			guard.ConnState(c, state)
+			d.routed.ConnState(c, state)
+		},
+		ConnContext: guard.ConnContext,
+		ErrorLog:    slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
 	}
 }
 
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -69,7 +69,7 @@
 		Name: cfg.Name, Zone: cfg.Zone, Headers: headers, RetryAfterFormat: cfg.RetryAfterFormat,
 		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxBodyBytes: cfg.MaxBodyBytes,
 		BodyTimeout: cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout, MaxBufferedBytes: policy.MaxBufferedBytes,
-		Backoff: policy.Backoff, RetryAfter: cfg.RetryAfter, AccessLog: cfg.AccessLog, MeasureSpeed: cfg.MeasureSpeed,
+		Backoff: policy.Backoff, RetryAfter: cfg.RetryAfter, AccessLog: cfg.AccessLog, MaxKeptConnections: cfg.maxKeptConnections(), MeasureSpeed: cfg.MeasureSpeed,
 	}
 	dependencies := routed.Dependencies{
 		Admitter: admissions, Picker: picker, Endpoints: table, Loads: loads, Outliers: outliers,
--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -109,7 +109,10 @@
 	b.frontend = httptest.NewUnstartedServer(b.server)
 	guard := FramingGuard{Listener: b.frontend.Listener}
 	b.frontend.Listener = guard
-	b.frontend.Config.ConnState = guard.ConnState
+	b.frontend.Config.ConnState = func(c net.Conn, state http.ConnState) {
+		guard.ConnState(c, state)
+		b.server.ConnState(c, state)
+	}
 	b.frontend.Config.ConnContext = guard.ConnContext
 	b.frontend.Start()
 	t.Cleanup(b.frontend.Close)
--- a/routed/metrics.go
+++ b/routed/metrics.go
@@ -13,8 +13,10 @@
 // serverMetrics contains the metrics of a Server.
 type serverMetrics struct {
 	inFlight atomic.Int64
-	attempts *metrics.Counter
-	resumes  *metrics.Counter
+	// connections is the number of open connections of callers.
+	connections atomic.Int64
+	attempts    *metrics.Counter
+	resumes     *metrics.Counter
 	// processExits counts the attempts during which the endpoint's process exited.
 	processExits *metrics.Counter
 	// partRefusals counts the refusals of requests with a quarantined prompt part.
@@ -29,6 +31,7 @@
 		processExits: metrics.GetOrCreateCounter(`lilackeel_routed_ended_under_request_total`),
 	}
 	metrics.GetOrCreateGauge(`lilackeel_routed_requests_in_flight`, func() float64 { return float64(m.inFlight.Load()) })
+	metrics.GetOrCreateGauge(`lilackeel_routed_caller_connections`, func() float64 { return float64(m.connections.Load()) })
 	return m
 }
 
--- a/routed/server.go
+++ b/routed/server.go
@@ -88,6 +88,9 @@
 	RetryAfter time.Duration
 	// AccessLog also logs requests that were answered.
 	AccessLog bool
+	// MaxKeptConnections is the number of open connections of callers above which responses close
+	// their connections; zero means no limit.
+	MaxKeptConnections int
 	// MeasureSpeed judges the endpoints of all pools that report no slowdown by their response
 	// times; otherwise only those of pools with a cold start are.
 	MeasureSpeed bool
@@ -183,7 +186,7 @@
 	defer s.metrics.inFlight.Add(-1)
 	ctx, span := telemetry.StartSpan(telemetry.Extract(r.Context(), r.Header), "entry")
 	defer span.End()
-	if s.keepAlivesDisabled.Load() {
+	if s.closesConnections() {
 		w.Header().Set("Connection", "close")
 	}
 	q, verdict := s.parse(w, r.WithContext(ctx))
