quarantine: the request that tests a held part is a probe

Cause: the code called it a trial, which is not the field's word. Identifiers, comments and one file name change (trial to probe); no logic does.

--- a/direct/listener.go
+++ b/direct/listener.go
@@ -12,7 +12,7 @@
 // it retries elsewhere.
 const listenCheckTimeout = 150 * time.Millisecond
 
-// ListenerState tells whether a process listens at an address.
+// ListenerState is whether a process listens at an address.
 type ListenerState int
 
 const (
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -37,14 +37,14 @@
 	chunks int
 	// failed is true if the endpoint is the cause of the failure.
 	failed bool
-	// endTrial ends the trial of a quarantined part; see quarantine.PartTracker.BeginAttempt.
-	endTrial func()
+	// endProbe ends the probe of a quarantined part; see quarantine.PartTracker.BeginAttempt.
+	endProbe func()
 }
 
 // dispatch sends one attempt and waits for its first response.
 func (x *exchange) dispatch(a *call.Action) call.Action {
 	x.closeAttempt()
-	endTrial, refusal := x.beginAttempt()
+	endProbe, refusal := x.beginAttempt()
 	if refusal != nil {
 		return x.repeatable.GiveUp(x.now(), refusal)
 	}
@@ -57,7 +57,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := x.server
 	x.attempt = &attempt{
-		cancel: cancel, span: span, sentAt: x.now(), endTrial: endTrial,
+		cancel: cancel, span: span, sentAt: x.now(), endProbe: endProbe,
 		load: s.Loads.Sent(x.now(), target.Endpoint, x.request.work),
 	}
 	s.Quarantine.AttemptStarted(x.attempt.sentAt, x.request.fingerprint)
@@ -192,7 +192,7 @@
 	a.receiveTimer.Stop()
 	a.cancel()
 	a.span.End()
-	a.endTrial()
+	a.endProbe()
 	s, now := x.server, x.now()
 	s.Quarantine.AttemptEnded(now, x.request.fingerprint)
 	s.Loads.Done(now, &a.load, load.Result{Failed: a.failed, Tokens: a.chunks})
--- a/quarantine/parttrial.go
+++ b/quarantine/partprobe.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// trialSpacing separates the first trials that different entries make after a hold, so that most
+	// probeSpacing separates the first probes that different entries make after a hold, so that most
 	// learn from the first one.
-	trialSpacing = 500 * time.Millisecond
-	// trialRetry is the delay before a retry that callers are told during a trial.
-	trialRetry = time.Second
+	probeSpacing = 500 * time.Millisecond
+	// probeRetryAfter is the delay before a retry that callers are told during a probe.
+	probeRetryAfter = time.Second
 )
 
 // Refusal returns the error for a request with a part that is held, nil if it may run.
@@ -34,19 +34,19 @@
 			continue
 		}
 		r.id = part.ID
-		if hold := r.heldUntil + t.trialDelay(part.Fingerprint) - now; hold > 0 {
+		if hold := r.heldUntil + t.probeDelay(part.Fingerprint) - now; hold > 0 {
 			return newPartRefusal(part, hold)
 		}
-		if r.trials > 0 {
-			return newPartRefusal(part, trialRetry)
+		if r.probes > 0 {
+			return newPartRefusal(part, probeRetryAfter)
 		}
 	}
 	return nil
 }
 
-// trialDelay returns how long after the end of a hold this entry makes its first trial.
-func (t *PartTracker) trialDelay(f call.Fingerprint) time.Duration {
-	spread := uint64(trialSpacing) * uint64(max(t.entries.Load()-1, 0))
+// probeDelay returns how long after the end of a hold this entry makes its first probe.
+func (t *PartTracker) probeDelay(f call.Fingerprint) time.Duration {
+	spread := uint64(probeSpacing) * uint64(max(t.entries.Load()-1, 0))
 	if spread == 0 {
 		return 0
 	}
@@ -68,18 +68,18 @@
 	var tested []*partRecord
 	for _, part := range parts {
 		if r := t.implicated(part.Fingerprint, parts); r != nil {
-			r.trials++
+			r.probes++
 			tested = append(tested, r)
 		}
 	}
-	return func() { t.endTrials(tested) }, nil
+	return func() { t.endProbes(tested) }, nil
 }
 
-func (t *PartTracker) endTrials(tested []*partRecord) {
+func (t *PartTracker) endProbes(tested []*partRecord) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, r := range tested {
-		r.trials--
+		r.probes--
 	}
 }
 
--- a/quarantine/partrecord.go
+++ b/quarantine/partrecord.go
@@ -46,9 +46,9 @@
 	// credited is true if the part had credit for the last event, which began at creditedAt.
 	credited   bool
 	creditedAt time.Duration
-	// trials is the number of requests that test, after the hold, whether the part still crashes
+	// probes is the number of requests that test, after the hold, whether the part still crashes
 	// endpoints.
-	trials int
+	probes int
 	// loggedUntil is the end of the last hold that was reported as new.
 	loggedUntil time.Duration
 }
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -29,7 +29,7 @@
 	runs     map[uint64]int
 	credits  credits
 	registry *Registry
-	// seed distinguishes the trial delays of entries.
+	// seed distinguishes the probe delays of entries.
 	seed uint64
 }
 
--- a/routed/attempt.go
+++ b/routed/attempt.go
@@ -30,8 +30,8 @@
 	chunksReceived atomic.Int32
 	// stopped is the reason why the request was not sent after all.
 	stopped *fault.Error
-	// endTrial ends the trial of a quarantined prompt part; see quarantine.PartTracker.BeginAttempt.
-	endTrial func()
+	// endProbe ends the probe of a quarantined prompt part; see quarantine.PartTracker.BeginAttempt.
+	endProbe func()
 }
 
 // handleSendError ends an attempt that received no response head.
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -185,13 +185,13 @@
 	ctx, cancel := context.WithTimeout(ctx, max(q.deadline-s.clock(), 0)+responseGrace)
 	defer cancel()
 	s.metrics.attempts.Inc()
-	a := &attempt{exchange: x, started: s.clock(), endTrial: func() {}, group: groupOf(s.Groups, &target), load: s.Loads.Sent(s.clock(), target.ID, q.work)}
+	a := &attempt{exchange: x, started: s.clock(), endProbe: func() {}, group: groupOf(s.Groups, &target), load: s.Loads.Sent(s.clock(), target.ID, q.work)}
 	s.Groups.Sent(a.started, a.group)
 	defer s.Groups.Done(a.group)
 	s.Quarantine.AttemptStarted(a.started, q.fingerprint)
 	defer func() { s.Quarantine.AttemptEnded(s.clock(), q.fingerprint) }()
 	defer a.watch(cancel)()
-	defer func() { a.endTrial() }()
+	defer func() { a.endProbe() }()
 	response, err := s.Client.Send(ctx, target.Addr, a.buildRequest(&target))
 	if a.stopped != nil {
 		a.recordResult(false)
@@ -271,7 +271,7 @@
 		a.stopped = refusal.Fault
 		return a.stopped
 	}
-	a.endTrial = end
+	a.endProbe = end
 	return nil
 }
 
