review: the control replicas' log outgrows disk and memory

Changes of a large configuration fill the log, which is bounded in entries only. After a kill of the core no replica starts within its memory, and the confirmed configuration can't be read back.

--- a/review/cases/bodies.go
+++ b/review/cases/bodies.go
@@ -3,26 +3,27 @@
 import (
 	"bytes"
 	"fmt"
-	"os"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 const (
-	// bodyConsumers is the number of consumers, fewer than those of the site.
-	bodyConsumers = 60
+	// bodyConsumers is the number of consumers, that of the site.
+	bodyConsumers = 90
 	// usualBody is the site's usual size of a body.
 	usualBody = 600
+	// bodyPause is the time between the beginnings of two consumers' requests.
+	bodyPause = 4 * time.Millisecond
 	// workTime is how long an engine works on a request.
-	workTime = 500 * time.Millisecond
+	workTime = time.Second
 	// memoryPoll is the interval at which the platform's stand-in reads the memory of the entry.
 	memoryPoll = 5 * time.Millisecond
+	// memoryMB is the memory of a front machine of the site.
+	memoryMB = 284
 )
 
-// playBodies lets many consumers, each on a channel that it keeps, send a request at the same time.
+// playBodies lets many consumers, each on a channel that it keeps, send a request within half a second.
 // With the disruption, the bodies are as long as the configuration allows. The platform's stand-in
 // kills the entry if it uses more memory than its machine has.
 //
@@ -67,8 +68,8 @@
 	return lost > 3, nil
 }
 
-// postAtOnce lets each consumer send a small request, and then all of them one with the body at the
-// same time. It returns how many of the latter were passed on and cut, answered, and refused.
+// postAtOnce lets each consumer send a small request, and then all of them one with the body, one
+// shortly after the other. It returns how many of the latter were passed on and cut, answered, and refused.
 func (d *deployment) postAtOnce(body []byte, passed *sync.Map) (lost, answered, refused int) {
 	var mu sync.Mutex
 	var connected, done sync.WaitGroup
@@ -87,6 +88,7 @@
 				return
 			}
 			<-begin
+			time.Sleep(time.Duration(i) * bodyPause)
 			id := fmt.Sprintf("body-%02d", i)
 			a, err := c.post(id, "1", body, 8*time.Second)
 			_, wasPassed := passed.Load(id)
@@ -134,21 +136,3 @@
 		}
 	}
 }
-
-// residentMB returns the resident memory of a process in MiB, the larger of the two units that a
-// machine's memory may be given in.
-func residentMB(pid int) (int64, bool) {
-	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/statm")
-	if err != nil {
-		return 0, false
-	}
-	fields := strings.Fields(string(text))
-	if len(fields) < 2 {
-		return 0, false
-	}
-	pages, err := strconv.ParseInt(fields[1], 10, 64)
-	if err != nil {
-		return 0, false
-	}
-	return pages * int64(os.Getpagesize()) >> 20, true
-}
--- a/review/cases/deployment.go
+++ b/review/cases/deployment.go
@@ -21,9 +21,7 @@
 // Sizes of the deployment: those of a small site, with fewer entries.
 const (
 	controlReplicas = 3
-	// memoryMB is the memory of a front machine of the site.
-	memoryMB = 284
-	maxFiles = 4100
+	maxFiles        = 4100
 	// startLimit bounds the wait for the deployment to serve.
 	startLimit = 20 * time.Second
 )
@@ -76,12 +74,12 @@
 		return nil, err
 	}
 	for i, ip := range d.controls {
-		if err := d.start("control", ip, zones[i%len(zones)]); err != nil {
+		if err := d.start("control", ip, zones[i%len(zones)], true); err != nil {
 			d.stop()
 			return nil, err
 		}
 	}
-	if err := d.start("entry", d.entry, zones[0]); err != nil {
+	if err := d.start("entry", d.entry, zones[0], true); err != nil {
 		d.stop()
 		return nil, err
 	}
@@ -102,7 +100,8 @@
 }
 
 // start starts the program of a role with its template of settings, filled in as the platform does.
-func (d *deployment) start(role, ip, zone string) error {
+// first is set if the whole system starts for the first time.
+func (d *deployment) start(role, ip, zone string, first bool) error {
 	text, err := os.ReadFile(filepath.Join(d.root, "deploy", role+".settings"))
 	if err != nil {
 		return err
@@ -111,7 +110,7 @@
 	for _, control := range d.controls {
 		seeds = append(seeds, net.JoinHostPort(control, strconv.Itoa(d.control)))
 	}
-	data := filepath.Join(d.folder, "data-"+ip)
+	data := d.dataDir(ip)
 	if err := os.MkdirAll(data, 0o700); err != nil {
 		return err
 	}
@@ -122,7 +121,7 @@
 		"{{listen.control}}", net.JoinHostPort(ip, strconv.Itoa(d.control)),
 		"{{listen.front}}", net.JoinHostPort(ip, strconv.Itoa(d.front)),
 		"{{listen.ready}}", net.JoinHostPort(ip, strconv.Itoa(d.ready)),
-		"{{dataDir}}", data, "{{bootstrap}}", "true", "{{faultTolerance.machines}}", "1",
+		"{{dataDir}}", data, "{{bootstrap}}", strconv.FormatBool(first), "{{faultTolerance.machines}}", "1",
 		"{{limits.maxFds}}", strconv.Itoa(maxFiles),
 	).Replace(string(text))
 	if strings.Contains(settings, "{{") {
@@ -132,7 +131,7 @@
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(d.folder, role+"-"+ip+".log"))
+	log, err := os.OpenFile(filepath.Join(d.folder, role+"-"+ip+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -151,11 +150,35 @@
 	}()
 	d.mu.Lock()
 	d.processes[role+"-"+ip] = p
+	stopped := d.stopped
 	d.mu.Unlock()
+	if stopped {
+		_ = command.Process.Kill()
+		<-p.ended
+		return errors.New("the deployment has been stopped")
+	}
 	d.record.note("started %s at %s", role, ip)
 	return nil
 }
 
+// dataDir returns the folder of a control replica's disk.
+func (d *deployment) dataDir(ip string) string { return filepath.Join(d.folder, "data-"+ip) }
+
+// diskBytes returns how much a control replica's disk holds.
+func (d *deployment) diskBytes(ip string) int64 {
+	var total int64
+	files, err := os.ReadDir(d.dataDir(ip))
+	if err != nil {
+		return 0
+	}
+	for _, file := range files {
+		if info, err := file.Info(); err == nil {
+			total += info.Size()
+		}
+	}
+	return total
+}
+
 // allRunning reports whether no process has ended, other than one that the platform's stand-in killed.
 func (d *deployment) allRunning() bool {
 	d.mu.Lock()
@@ -172,6 +195,18 @@
 	return true
 }
 
+// hasEnded reports whether a process has ended.
+func (d *deployment) hasEnded(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.processes[name].ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // kill kills a process, as the platform does.
 func (d *deployment) kill(name string) {
 	d.mu.Lock()
@@ -212,21 +247,31 @@
 
 // call makes one call to a control replica's address for the platform.
 func (d *deployment) call(ip, method, path string, body []byte, limit time.Duration) (status int, err error) {
+	status, _, err = d.exchange(ip, method, path, body, limit)
+	return status, err
+}
+
+// read reads the configuration from a control replica.
+func (d *deployment) read(ip string) (status int, text []byte, err error) {
+	return d.exchange(ip, http.MethodGet, "/lilackeel/config", nil, time.Second)
+}
+
+func (d *deployment) exchange(ip, method, path string, body []byte, limit time.Duration) (status int, text []byte, err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	url := "http://" + net.JoinHostPort(ip, strconv.Itoa(d.control)) + path
 	request, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	request.Header.Set("Content-Type", "application/json")
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response.StatusCode, nil
+	text, err = io.ReadAll(response.Body)
+	return response.StatusCode, text, err
 }
 
 // publish sends a configuration to any replica until it is confirmed.
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -28,6 +28,7 @@
 type testCase func(d *deployment, trouble bool) (broken bool, err error)
 
 var testCases = map[string]testCase{
+	"logsize":   playLogSize,
 	"truncated": playTruncated,
 	"smuggled":  playSmuggled,
 	"bodies":    playBodies,
@@ -42,7 +43,7 @@
 	flag.Parse()
 	play, known := testCases[*name]
 	if !known || *recordFile == "" {
-		fmt.Fprintln(os.Stderr, "give -case and -record; cases: truncated, smuggled, bodies")
+		fmt.Fprintln(os.Stderr, "give -case and -record; cases: logsize, truncated, smuggled, bodies")
 		return exitNotRun
 	}
 	record, err := newRecord(*recordFile)
