--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -10,6 +10,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -60,6 +62,13 @@
 		return exitNotRun
 	}
 	defer d.stop()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		record.note("could not run: %v", <-interrupted)
+		d.stop()
+		os.Exit(exitNotRun)
+	}()
 	timedOut := time.AfterFunc(caseLimit, func() {
 		record.note("could not run: the case took longer than %v", caseLimit)
 		d.stop()
