--- a/review/cases/bodies.go
+++ b/review/cases/bodies.go
@@ -27,15 +27,17 @@
 // With the disruption, the bodies are as long as the configuration allows. The platform's stand-in
 // kills the entry if it uses more memory than its machine has.
 //
-// The rule is broken if more than three requests that were passed on to engines end with a closed
+// The rule is broken if more than three requests that engines have read whole and run end with a closed
 // channel and no answer.
 func playBodies(d *deployment, trouble bool) (bool, error) {
 	var passed sync.Map
 	serve := func(r *engineRequest) bool {
-		passed.Store(r.id, true)
 		if !r.discardBody() {
+			d.record.note("engine: the body of %s doesn't come whole, it is not run", r.id)
 			return false
 		}
+		passed.Store(r.id, true)
+		d.record.note("engine runs %s, %d bytes", r.id, r.length)
 		time.Sleep(workTime)
 		return r.answer(200, "done "+r.id)
 	}
@@ -63,13 +65,13 @@
 	go d.enforceMemory(entry, &highest, watched)
 	defer close(watched)
 	lost, answered, refused := d.postAtOnce(bytes.Repeat([]byte("b"), size), &passed)
-	d.record.note("%d consumers with bodies of %d bytes: %d answered, %d refused, %d passed on to an engine and then cut without an answer; the entry used up to %d MB of %d",
+	d.record.note("%d consumers with bodies of %d bytes: %d answered, %d refused, %d run by an engine and then cut without an answer; the entry used up to %d MB of %d",
 		bodyConsumers, size, answered, refused, lost, highest.Load(), memoryMB)
 	return lost > 3, nil
 }
 
 // postAtOnce lets each consumer send a small request, and then all of them one with the body, one
-// shortly after the other. It returns how many of the latter were passed on and cut, answered, and refused.
+// shortly after the other. It returns how many of the latter were run and cut, answered, and refused.
 func (d *deployment) postAtOnce(body []byte, passed *sync.Map) (lost, answered, refused int) {
 	var mu sync.Mutex
 	var connected, done sync.WaitGroup
@@ -103,7 +105,7 @@
 				lost++
 			}
 			if err != nil {
-				d.record.note("consumer: the channel of %s ends without an answer (passed on to an engine: %v): %v", id, wasPassed, err)
+				d.record.note("consumer: the channel of %s ends without an answer (run by an engine: %v): %v", id, wasPassed, err)
 				return
 			}
 			d.record.note("consumer: %s answered %d", id, a.status)
