routed: log how a response without a length ended during its request's write

The write's result is kept (bodyWrite), a write that still waits for the endpoint is interrupted when the response ends, and both errors are logged and counted. What is delivered does not change.

--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/lilackeel/lilackeel/fault"
@@ -42,6 +41,23 @@
 	// written. If it returns an error, Send returns that error and nothing is sent. It may be
 	// nil.
 	BeforeSend func() error
+	// OnEarlyEnd is called when a response that states no length ends before the request has been
+	// written, before the end is returned to the reader of the body. It may be nil.
+	OnEarlyEnd func(EarlyEnd)
+}
+
+// EarlyEnd describes the end of a response that states no length and whose request had not been
+// written by then.
+type EarlyEnd struct {
+	// ReadError is the error with which reading the response ended: io.EOF at the end of the
+	// connection.
+	ReadError error
+	// WriteError is the error with which writing the body ended. It matches os.ErrDeadlineExceeded
+	// if the write was still waiting for the endpoint to read, and is nil if the rest was written
+	// in the meantime.
+	WriteError error
+	// Sent is the number of bytes of the body that were written, of Size in all.
+	Sent, Size int
 }
 
 // Response is the head of a response. Body must be read to its end or closed; it ends with
@@ -99,10 +115,10 @@
 	request *Request
 	// stop unregisters the callback that resets the connection when ctx is done.
 	stop func() bool
-	// requestWritten is true once the whole request has been written.
-	requestWritten atomic.Bool
-	response       *http.Response
-	once           sync.Once
+	// bodyWrite writes the body; nil if the body was written together with the head.
+	bodyWrite *bodyWrite
+	response  *http.Response
+	once      sync.Once
 }
 
 // write sends the request. If no byte was written, the request has not been sent. Errors while
@@ -121,17 +137,28 @@
 	case err != nil:
 		return fault.New(fault.Unknown, "the connection to the endpoint failed while the request was being sent", "retry the request").WithCause(err)
 	case len(r.Body) <= maxInlineBody:
-		x.requestWritten.Store(true)
 		return nil
 	}
-	go func() {
-		if _, err := x.conn.raw.Write(r.Body); err == nil {
-			x.requestWritten.Store(true)
-		}
-	}()
+	x.bodyWrite = newBodyWrite(x.conn.raw, r.Body)
+	go x.bodyWrite.run()
 	return nil
 }
 
+// requestWritten reports whether the whole request has been written.
+func (x *exchange) requestWritten() bool { return x.bodyWrite == nil || x.bodyWrite.isComplete() }
+
+// reportEarlyEnd reports the end of a response that states no length if the request has not been
+// written.
+func (x *exchange) reportEarlyEnd(readError error) {
+	if x.requestWritten() {
+		return
+	}
+	x.bodyWrite.interrupt()
+	if x.request.OnEarlyEnd != nil {
+		x.request.OnEarlyEnd(EarlyEnd{ReadError: readError, WriteError: x.bodyWrite.err, Sent: x.bodyWrite.sent, Size: len(x.request.Body)})
+	}
+}
+
 // framingHeaders are the headers that appendHead writes itself or that must not be forwarded
 // in a request.
 var framingHeaders = map[string]bool{"Content-Length": true, "Transfer-Encoding": true, "Host": true, "Connection": true, "Expect": true, "Trailer": true}
@@ -196,7 +223,7 @@
 		x.response = response
 		return &Response{
 			Status: response.StatusCode, Header: response.Header,
-			Body: &responseBody{x}, Reused: x.conn.reused, Unframed: sent.Method != http.MethodHead && !x.framed(),
+			Body: &responseBody{x}, Reused: x.conn.reused, Unframed: x.unframed(),
 		}, nil
 	}
 	return nil, errForeignResponses
@@ -226,7 +253,7 @@
 	x.once.Do(func() {
 		notCancelled := x.stop()
 		idle := x.client.idleTimeout(x.response.Header)
-		if !notCancelled || !x.requestWritten.Load() || x.response.Close || !x.framed() || idle <= 0 || x.conn.reader.Buffered() > 0 {
+		if !notCancelled || !x.requestWritten() || x.response.Close || !x.framed() || idle <= 0 || x.conn.reader.Buffered() > 0 {
 			x.conn.close()
 			return
 		}
@@ -239,6 +266,9 @@
 	return x.response.ContentLength >= 0 || slices.Contains(x.response.TransferEncoding, "chunked")
 }
 
+// unframed reports whether the response has a body that ends with its connection.
+func (x *exchange) unframed() bool { return x.request.Method != http.MethodHead && !x.framed() }
+
 // idleTimeout returns how long a connection may be kept idle, according to the Keep-Alive
 // header.
 func (c *Client) idleTimeout(header http.Header) time.Duration {
@@ -259,6 +289,9 @@
 // incomplete.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.x.response.Body.Read(p)
+	if err != nil && b.x.unframed() {
+		b.x.reportEarlyEnd(err)
+	}
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
--- a/routed/attempt.go
+++ b/routed/attempt.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +68,15 @@
 	return result
 }
 
+// recordEarlyEnd records how a response that states no length ended before its request was written.
+func (a *attempt) recordEarlyEnd(end direct.EarlyEnd) {
+	s, q := a.server, a.request
+	s.metrics.recordEarlyEnd()
+	s.Logger.LogAttrs(a.callerCtx, slog.LevelInfo, "a response without a length ended before its request was sent",
+		slog.String("request_id", q.id), slog.Any("fingerprint", q.fingerprint), slog.String("endpoint", a.target.ID),
+		slog.Int("sent", end.Sent), slog.Int("size", end.Size), slog.Any("read_error", end.ReadError), slog.Any("write_error", end.WriteError))
+}
+
 // recordResult records the result of the attempt for load and outlier tracking.
 func (a *attempt) recordResult(isFailure bool) {
 	s, now := a.server, a.server.clock()
--- a/routed/exchange.go
+++ b/routed/exchange.go
@@ -245,7 +245,7 @@
 	}
 	return &direct.Request{
 		Method: q.method, Target: q.target, Host: q.host, ID: q.id, Header: header, Body: q.body,
-		BeforeSend: a.checkBeforeSend,
+		BeforeSend: a.checkBeforeSend, OnEarlyEnd: a.recordEarlyEnd,
 	}
 }
 
--- a/routed/metrics.go
+++ b/routed/metrics.go
@@ -40,6 +40,11 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf(`lilackeel_routed_refusals_total{kind=%q,status="%d"}`, string(v.Fault.Kind), v.HTTPStatus())).Inc()
 }
 
+// recordEarlyEnd counts a response without a length that ended before its request was written.
+func (m *serverMetrics) recordEarlyEnd() {
+	metrics.GetOrCreateCounter(`lilackeel_routed_early_ends_total`).Inc()
+}
+
 // recordEnded counts a request that was processed.
 func (m *serverMetrics) recordEnded(pool, outcome string, took time.Duration) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`lilackeel_routed_requests_total{pool=%q,outcome=%q}`, pool, outcome)).Inc()
