direct: a connection that failed during the write does not end a response

Event streams that were reset after whole events ended as complete in the same way.

Cause: a body over 16 KiB is written while the response is read. The system reports the failure of a connection once, to the call that comes first. The blocked write got it and its error was dropped; the read then found zero bytes, which end a response that states no length.

conn.Read now returns io.EOF only if the endpoint closed the connection: when it finds no more data, the write is interrupted, and a failure of the connection that the write got is the error of the read. A write that still waited, or that failed with a broken pipe, shows an orderly end: the kernel reports a reset after the peer's end as EPIPE. So responses that end in order stay complete, also if the endpoint never reads the request. All kinds of delivery are above this place.

--- a/agent/daemon_test.go
+++ b/agent/daemon_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,6 +76,37 @@
 	}
 }
 
+// TestResetWhileRequestIsWritten guards against a truncated answer that is delivered as complete because
+// its connection was reset while the call was being written, and against a complete answer that is
+// reported as broken because its endpoint had not read the whole call.
+func TestResetWhileRequestIsWritten(t *testing.T) {
+	is := is.New(t)
+	const (
+		plain    = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: application/json\r\n"
+		sse      = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n"
+		terminal = "data: [DONE]\n\n"
+	)
+	handlers := map[string]http.Handler{
+		"service-no-length-reset": standin.RespondEarly(plain+"\r\n{}", true),
+		"service-length-cut":      standin.RespondEarly(plain+"Content-Length: 3\r\n\r\n{}", true),
+		"service-length-whole":    standin.RespondEarly(plain+"Content-Length: 2\r\n\r\n{}", false),
+		"engine-no-length-reset":  standin.RespondEarly(sse+"\r\n"+terminal, true),
+		"engine-chunks-cut":       standin.RespondEarly(sse+"Transfer-Encoding: chunked\r\n\r\ne\r\n"+terminal+"\r\n", true),
+		"engine-chunks-whole":     standin.RespondEarly(sse+"Transfer-Encoding: chunked\r\n\r\ne\r\n"+terminal+"\r\n0\r\n\r\n", false),
+	}
+	s := newFixture(t, handlers)
+	for id := range handlers {
+		d := completion(strings.HasPrefix(id, KindEngine), "1")
+		d.Endpoint, d.Body = id, make([]byte, 8<<20)
+		got := s.dispatch(d)
+		whole := strings.HasSuffix(id, "whole")
+		t.Log(id, got.broken, got.end)
+		is.NoErr(got.err)
+		is.Equal(got.end != nil, whole)
+		is.Equal(got.broken.GetMayHaveRun(), !whole)
+	}
+}
+
 // Guards against an interrupted stream that is resumed with a gap or an overlap, that is run again by an
 // engine that no longer knows it, or that counts as resumed by an engine that cannot resume.
 func TestInterruptedStreamResumes(t *testing.T) {
--- a/direct/bodywrite.go
+++ b/direct/bodywrite.go
@@ -1,7 +1,10 @@
 package direct
 
 import (
+	"errors"
 	"net"
+	"os"
+	"syscall"
 	"time"
 )
 
@@ -40,3 +43,15 @@
 	_ = w.conn.SetWriteDeadline(time.Now())
 	<-w.ended
 }
+
+// connectionFailure returns the error with which the connection failed, if the write got it. The
+// operating system reports a failure only once, to the read or the write that comes first; later
+// reads end as if the endpoint had closed the connection. A write fails with EPIPE if the endpoint
+// closed its side in order before it reset the connection, so that the reads lack nothing. It must
+// be called after run has returned.
+func (w *bodyWrite) connectionFailure() error {
+	if errors.Is(w.err, os.ErrDeadlineExceeded) || errors.Is(w.err, syscall.EPIPE) {
+		return nil
+	}
+	return w.err
+}
--- a/direct/conn.go
+++ b/direct/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -28,6 +29,8 @@
 	// headRemaining is how many bytes may still be read while a response head is being read;
 	// negative means unlimited.
 	headRemaining int
+	// bodyWrite is the write of the current request's body; nil if it was written with the head.
+	bodyWrite *bodyWrite
 	// reused is true if the connection has already served a request.
 	reused bool
 	// expires is when the idle connection is closed.
@@ -40,7 +43,8 @@
 	return c
 }
 
-// Read implements io.Reader and enforces the limit on the response head.
+// Read implements io.Reader and enforces the limit on the response head. It returns io.EOF only if
+// the endpoint has closed the connection, and not if the connection has failed.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headRemaining == 0 {
 		return 0, errHeadTooLarge
@@ -52,9 +56,25 @@
 	if c.headRemaining > 0 {
 		c.headRemaining -= n
 	}
+	if errors.Is(err, io.EOF) {
+		err = c.endOfConnection()
+	}
 	return n, err
 }
 
+// endOfConnection returns the error for a read that found no more data: the failure of the
+// connection if the write of the request's body got it, io.EOF otherwise.
+func (c *conn) endOfConnection() error {
+	if c.bodyWrite == nil {
+		return io.EOF
+	}
+	c.bodyWrite.interrupt()
+	if failure := c.bodyWrite.connectionFailure(); failure != nil {
+		return failure
+	}
+	return io.EOF
+}
+
 // stillIdle reports whether an idle connection has received neither data nor the end of the
 // stream.
 func (c *conn) stillIdle() bool {
--- a/direct/doc.go
+++ b/direct/doc.go
@@ -7,6 +7,10 @@
 // encoding and was followed by no further bytes. Before reuse, the connection is checked: if
 // it has received unexpected data or has been closed, it is discarded.
 //
+// A response that states neither a length nor chunks is complete only if the endpoint closed the
+// connection in order. A connection that failed, even if the failure was reported to the write of
+// the request's body, ends it with an error.
+//
 // Errors are faults. Kind Unavailable means that the endpoint did not receive the request;
 // kind Unknown means that it may have received and run it.
 //
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -49,8 +49,8 @@
 // EarlyEnd describes the end of a response that states no length and whose request had not been
 // written by then.
 type EarlyEnd struct {
-	// ReadError is the error with which reading the response ended: io.EOF at the end of the
-	// connection.
+	// ReadError is the error with which reading the response ended: io.EOF if the endpoint closed
+	// the connection in order.
 	ReadError error
 	// WriteError is the error with which writing the body ended. It matches os.ErrDeadlineExceeded
 	// if the write was still waiting for the endpoint to read, and is nil if the rest was written
@@ -114,11 +114,9 @@
 	conn    *conn
 	request *Request
 	// stop unregisters the callback that resets the connection when ctx is done.
-	stop func() bool
-	// bodyWrite writes the body; nil if the body was written together with the head.
-	bodyWrite *bodyWrite
-	response  *http.Response
-	once      sync.Once
+	stop     func() bool
+	response *http.Response
+	once     sync.Once
 }
 
 // write sends the request. If no byte was written, the request has not been sent. Errors while
@@ -126,6 +124,7 @@
 // endpoint received the request.
 func (x *exchange) write() error {
 	r := x.request
+	x.conn.bodyWrite = nil
 	message := appendHead(nil, r)
 	if len(r.Body) <= maxInlineBody {
 		message = append(message, r.Body...)
@@ -139,13 +138,15 @@
 	case len(r.Body) <= maxInlineBody:
 		return nil
 	}
-	x.bodyWrite = newBodyWrite(x.conn.raw, r.Body)
-	go x.bodyWrite.run()
+	x.conn.bodyWrite = newBodyWrite(x.conn.raw, r.Body)
+	go x.conn.bodyWrite.run()
 	return nil
 }
 
 // requestWritten reports whether the whole request has been written.
-func (x *exchange) requestWritten() bool { return x.bodyWrite == nil || x.bodyWrite.isComplete() }
+func (x *exchange) requestWritten() bool {
+	return x.conn.bodyWrite == nil || x.conn.bodyWrite.isComplete()
+}
 
 // reportEarlyEnd reports the end of a response that states no length if the request has not been
 // written.
@@ -153,9 +154,10 @@
 	if x.requestWritten() {
 		return
 	}
-	x.bodyWrite.interrupt()
+	write := x.conn.bodyWrite
+	write.interrupt()
 	if x.request.OnEarlyEnd != nil {
-		x.request.OnEarlyEnd(EarlyEnd{ReadError: readError, WriteError: x.bodyWrite.err, Sent: x.bodyWrite.sent, Size: len(x.request.Body)})
+		x.request.OnEarlyEnd(EarlyEnd{ReadError: readError, WriteError: write.err, Sent: write.sent, Size: len(write.body)})
 	}
 }
 
