direct: release the last body when a connection becomes idle

A connection refers to the write of its request's body since, so that an idle one would have kept up to 4 MiB in memory until its next request or its timeout. Found on reading the change again; no caller saw it.

client.put drops the reference. An earlier form of the test failed under the race detector because it assumed that the write had ended when the response was read; it now waits for that.

--- a/direct/client.go
+++ b/direct/client.go
@@ -177,6 +177,7 @@
 func (c *Client) put(used *conn, idle time.Duration) {
 	now := time.Now()
 	used.expires = now.Add(idle)
+	used.bodyWrite = nil // an idle connection must not keep the last body in memory
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	conns := c.idle[used.addr]
--- a/direct/earlyend_test.go
+++ b/direct/earlyend_test.go
@@ -142,3 +142,28 @@
 		})
 	}
 }
+
+// TestIdleConnectionHoldsNoBody guards against idle connections that keep the body of their last request
+// in memory.
+func TestIdleConnectionHoldsNoBody(t *testing.T) {
+	is := is.New(t)
+	s := newScriptedServer(t, func(c net.Conn, r *bufio.Reader) {
+		readHead(r)
+		_, _ = io.CopyN(io.Discard, r, 1<<20)
+		writeString(c, completeResponse)
+		_, _ = r.ReadByte()
+	})
+	client := NewClient(Config{})
+	defer client.Close()
+	long := newRequest()
+	long.Method, long.Body = http.MethodPost, make([]byte, 1<<20)
+	response, err := client.Send(t.Context(), s.addr(), long)
+	is.NoErr(err)
+	<-response.Body.(*responseBody).x.conn.bodyWrite.ended // the connection is kept only after that
+	_, err = io.ReadAll(response.Body)
+	is.NoErr(err)
+	idle := client.popIdle(s.addr())
+	is.True(idle != nil)
+	defer idle.close()
+	is.True(idle.bodyWrite == nil)
+}
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -124,7 +124,6 @@
 // endpoint received the request.
 func (x *exchange) write() error {
 	r := x.request
-	x.conn.bodyWrite = nil
 	message := appendHead(nil, r)
 	if len(r.Body) <= maxInlineBody {
 		message = append(message, r.Body...)
