--- a/cmd/lilackeel-measure/main.go
+++ b/cmd/lilackeel-measure/main.go
@@ -18,6 +18,7 @@
 	"github.com/lilackeel/lilackeel/measure/balancing"
 	"github.com/lilackeel/lilackeel/measure/fairness"
 	"github.com/lilackeel/lilackeel/measure/fanout"
+	"github.com/lilackeel/lilackeel/measure/logsize"
 	"github.com/lilackeel/lilackeel/measure/overhead"
 	"github.com/lilackeel/lilackeel/measure/picking"
 	"github.com/lilackeel/lilackeel/measure/settings"
@@ -33,6 +34,7 @@
 	"balancing": balancing.Run,
 	"fairness":  fairness.Run,
 	"fanout":    fanout.Run,
+	"logsize":   logsize.Run,
 	"overhead":  overhead.Run,
 	"picking":   picking.Run,
 	"settings":  func(w io.Writer, _ uint64, _ string) error { return settings.Write(w) },
--- a/control/providers.go
+++ b/control/providers.go
@@ -27,6 +27,7 @@
 		RepairAfter:       s.RepairAfter,
 		Voters:            s.Voters,
 		SnapshotEvery:     uint64(s.SnapshotEvery),
+		SnapshotLogRatio:  s.SnapshotLogRatio,
 		Logger:            logger,
 		DialOptions:       dial,
 	}, m)
--- a/control/settings.go
+++ b/control/settings.go
@@ -51,6 +51,9 @@
 	Voters int
 	// SnapshotEvery is the number of log entries between two snapshots.
 	SnapshotEvery int
+	// SnapshotLogRatio is the size of the log since the last snapshot, relative to the state, above
+	// which a snapshot is taken earlier.
+	SnapshotLogRatio float64
 
 	// Lease is how long an agent counts as live without an announcement.
 	Lease time.Duration
@@ -103,6 +106,7 @@
 	s.registerDurations(set)
 	set.Int(&s.Voters, "voters", 0, "number of voters that the cluster maintains automatically, replacing failed voters by replicas with blank disks; 0 leaves the membership to the operator", setting.Min(0))
 	set.Int(&s.SnapshotEvery, "snapshot-every", server.DefaultSnapshotEvery, "log entries between two snapshots", setting.Min(1))
+	set.Float(&s.SnapshotLogRatio, "snapshot-log-ratio", server.DefaultSnapshotLogRatio, "size of the log since the last snapshot, relative to the state, above which a snapshot is taken earlier", setting.Min(0.1))
 	set.Int(&s.Loads, "loads", defaultLoads, "maximum number of concurrent loads through the weight store", setting.Min(1))
 	set.Float(&s.LoadShare, "load-share", defaultLoadShare, "maximum share of a pool's endpoints that load concurrently; one always may", setting.Min(0.0), setting.Max(1.0))
 	set.String(&s.GroupsFile, "groups", "", "YAML file that describes the groups of ranks, the same at every replica; empty for none")
--- a/replica/config.go
+++ b/replica/config.go
@@ -15,6 +15,7 @@
 	DefaultMaxAppendBytes    = 1 << 20
 	DefaultMaxInflight       = 64
 	DefaultTrailingEntries   = 1024
+	DefaultTrailingBytes     = 4 << 20
 
 	// initialHeartbeatIntervals is the wait for a leader, in heartbeat intervals,
 	// of a replica that has not received a message from any leader since its start.
@@ -64,6 +65,9 @@
 	// TrailingEntries is the number of entries before a snapshot that stay in the
 	// log, so that members that are slightly behind need no snapshot.
 	TrailingEntries uint64
+	// TrailingBytes limits the size of these entries. A member that needs more is
+	// sent the snapshot.
+	TrailingBytes int
 	// Rand randomizes election timeouts and draws the cluster identity.
 	Rand *rand.Rand
 }
@@ -86,6 +90,7 @@
 	setDefault(&c.MaxAppendBytes, DefaultMaxAppendBytes)
 	setDefault(&c.MaxInflight, DefaultMaxInflight)
 	setDefault(&c.TrailingEntries, DefaultTrailingEntries)
+	setDefault(&c.TrailingBytes, DefaultTrailingBytes)
 }
 
 func setDefault[T comparable](setting *T, value T) {
--- a/replica/entrylog.go
+++ b/replica/entrylog.go
@@ -25,6 +25,7 @@
 type entryLog struct {
 	base      position
 	entries   []*pb.Entry
+	bytes     int    // size of the entries
 	persisted uint64 // entries up to this index are durable
 	committed uint64
 	delivered uint64 // entries up to this index were returned by Ready to be applied
@@ -78,26 +79,51 @@
 
 func (l *entryLog) append(entry *pb.Entry) {
 	l.entries = append(l.entries, entry)
+	l.bytes += proto.Size(entry)
 }
 
 // truncate removes the entries from index on. It copies the rest, because messages
 // that are still being sent may share the old slice.
 func (l *entryLog) truncate(index uint64) {
 	keep := index - l.base.index - 1
+	l.bytes -= totalSize(l.entries[keep:])
 	l.entries = append([]*pb.Entry(nil), l.entries[:keep]...)
 	l.persisted = min(l.persisted, index-1)
 }
 
+// beforeTrailing returns the index before the longest run of entries that ends at
+// index and has at most count entries and limit bytes.
+func (l *entryLog) beforeTrailing(index, count uint64, limit int) uint64 {
+	size := 0
+	for first := index; first > l.base.index; first-- {
+		size += proto.Size(l.at(first))
+		if size > limit || index-first >= count {
+			return first
+		}
+	}
+	return l.base.index
+}
+
 // compact removes the entries up to index.
 func (l *entryLog) compact(index uint64) {
 	term, ok := l.term(index)
 	if !ok || index <= l.base.index {
 		return
 	}
+	l.bytes -= totalSize(l.entries[:index-l.base.index])
 	l.entries = append([]*pb.Entry(nil), l.entries[index-l.base.index:]...)
 	l.base = position{index, term}
 }
 
+// totalSize returns the size of entries in bytes.
+func totalSize(entries []*pb.Entry) int {
+	size := 0
+	for _, entry := range entries {
+		size += proto.Size(entry)
+	}
+	return size
+}
+
 // reset replaces the whole log by a snapshot at p.
 func (l *entryLog) reset(p position) {
 	*l = entryLog{base: p, persisted: p.index, committed: p.index, delivered: p.index}
--- a/replica/replicate.go
+++ b/replica/replicate.go
@@ -209,14 +209,12 @@
 }
 
 // Compact removes the entries covered by a durable snapshot, except for the last
-// Config.TrailingEntries of them.
+// ones up to Config.TrailingEntries and Config.TrailingBytes.
 func (n *Node) Compact(snapshot *pb.Snapshot) {
 	if snapshot.GetIndex() <= n.snapshot.GetIndex() {
 		return
 	}
 	n.snapshot = snapshot
-	if snapshot.GetIndex() > n.cfg.TrailingEntries {
-		n.log.compact(snapshot.GetIndex() - n.cfg.TrailingEntries)
-	}
+	n.log.compact(n.log.beforeTrailing(snapshot.GetIndex(), n.cfg.TrailingEntries, n.cfg.TrailingBytes))
 	n.members = n.members.compact(n.log.base.index)
 }
--- a/replica/server/apply.go
+++ b/replica/server/apply.go
@@ -26,6 +26,9 @@
 	applied      uint64
 	advanced     chan struct{} // closed and replaced when applied grows
 	snapshot     uint64        // index of the last snapshot; owned by run
+	logBytes     int           // size of the commands applied since then; owned by run
+	// stateBytes is the size of the state in the last finished snapshot.
+	stateBytes atomic.Int64
 	// snapshotPending is set by run when it captures the state, and cleared by the
 	// loop when the snapshot is installed or dropped.
 	snapshotPending atomic.Bool
@@ -38,13 +41,15 @@
 	stopped  chan struct{}
 }
 
-func newApplier(s *Server, sm StateMachine, applied uint64) *applier {
-	return &applier{
-		server: s, sm: sm, applied: applied, snapshot: applied,
+func newApplier(s *Server, sm StateMachine, restored *pb.Snapshot) *applier {
+	a := &applier{
+		server: s, sm: sm, applied: restored.GetIndex(), snapshot: restored.GetIndex(),
 		queueChanged: make(chan struct{}, 1), advanced: make(chan struct{}),
 		captures: make(chan capturedState, 1), failed: make(chan error, 1),
 		stopping: make(chan struct{}), stopped: make(chan struct{}),
 	}
+	a.stateBytes.Store(int64(len(restored.GetData())))
+	return a
 }
 
 // enqueue adds a snapshot, if any, and the entries after it to the queue.
@@ -103,6 +108,8 @@
 			return fault.New(fault.Internal, "the state machine failed to restore a snapshot", "run the same version on all control replicas").WithCause(err)
 		}
 		a.snapshot = job.snapshot.GetIndex()
+		a.logBytes = 0
+		a.stateBytes.Store(int64(len(job.snapshot.GetData())))
 		a.advance(a.snapshot)
 	}
 	for _, entry := range job.entries {
@@ -118,6 +125,7 @@
 // applyEntry applies one entry and completes its proposal, if it was made here.
 func (a *applier) applyEntry(entry *pb.Entry) {
 	var result any
+	a.logBytes += len(entry.GetData())
 	if entry.GetKind() == pb.EntryKind_ENTRY_KIND_DATA {
 		result = a.sm.Apply(entry.GetIndex(), entry.GetTerm(), entry.GetData())
 	}
@@ -154,17 +162,28 @@
 	return a.applied, a.advanced
 }
 
-// maybeCapture captures the state if enough entries were applied since the last
-// snapshot and that snapshot is finished.
+// snapshotDue reports whether enough entries, or enough bytes of them, were applied
+// since the last snapshot.
+func (a *applier) snapshotDue() bool {
+	cfg := &a.server.cfg
+	if a.index() >= a.snapshot+cfg.SnapshotEvery {
+		return true
+	}
+	ratio := float64(a.logBytes) / float64(max(a.stateBytes.Load(), 1))
+	return a.logBytes > MinSnapshotLogBytes && ratio > cfg.SnapshotLogRatio
+}
+
+// maybeCapture captures the state if a snapshot is due and the last one is finished.
 func (a *applier) maybeCapture() {
-	index := a.index()
-	if index < a.snapshot+a.server.cfg.SnapshotEvery || !a.snapshotPending.CompareAndSwap(false, true) {
+	if !a.snapshotDue() || !a.snapshotPending.CompareAndSwap(false, true) {
 		return
 	}
+	index := a.index()
 	started := time.Now()
 	a.captures <- capturedState{index: index, encode: captureState(a.sm)}
 	captureSeconds.UpdateDuration(started)
 	a.snapshot = index
+	a.logBytes = 0
 }
 
 func (a *applier) stop() {
--- a/replica/server/metrics.go
+++ b/replica/server/metrics.go
@@ -22,6 +22,7 @@
 		_, _, term, _ := s.Leader()
 		return float64(term)
 	})
+	metrics.GetOrCreateGauge("lilackeel_replica_log_bytes", func() float64 { return float64(s.logBytes.Load()) })
 	metrics.GetOrCreateGauge(`lilackeel_replica_queue_length{queue="proposals"}`, func() float64 {
 		return float64(len(s.proposals))
 	})
@@ -41,6 +42,7 @@
 	addDelta(votes, counters.Votes, s.reportedCounters.Votes)
 	addDelta(refusedDisks, counters.RefusedDisks, s.reportedCounters.RefusedDisks)
 	s.reportedCounters = counters
+	s.logBytes.Store(int64(s.node.LogBytes()))
 }
 
 func addDelta(total *metrics.Counter, now, before uint64) {
--- a/replica/server/propose.go
+++ b/replica/server/propose.go
@@ -4,8 +4,10 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/replica"
 )
 
 // proposal is a command that is to be committed.
@@ -116,11 +118,30 @@
 		"retry with a longer deadline").WithCause(ctx.Err())
 }
 
+// maxPendingLogBytes is by how much the log may exceed the size at which a snapshot is
+// due, for the commands that are committed while the snapshot is written.
+const maxPendingLogBytes = 32 << 20
+
+// checkLogSize refuses a command that the log has no room for until the next snapshot.
+func (s *Server) checkLogSize(size int) error {
+	due := max(MinSnapshotLogBytes, int(s.cfg.SnapshotLogRatio*float64(s.applier.stateBytes.Load())))
+	limit := replica.DefaultTrailingBytes + due + maxPendingLogBytes
+	if held := s.node.LogBytes(); held+size > limit {
+		return fault.Newf(fault.Overloaded, "retry after the given time; if the error persists, check the disk of the control replicas",
+			"not run: the log holds %d bytes that no snapshot covers yet, of %d at most", held, limit).RetryIn(time.Second)
+	}
+	return nil
+}
+
 // propose appends a proposal to the log. It runs in the loop.
 func (s *Server) propose(p *proposal) {
 	if !p.claimed.CompareAndSwap(false, true) {
 		return
 	}
+	if err := s.checkLogSize(len(p.data)); err != nil {
+		p.done <- outcome{err: err}
+		return
+	}
 	index, term, err := s.node.Propose(p.data)
 	if err != nil {
 		p.done <- outcome{err: err}
--- a/replica/server/server.go
+++ b/replica/server/server.go
@@ -18,6 +18,7 @@
 	"log/slog"
 	mathrand "math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -32,6 +33,13 @@
 const (
 	// DefaultSnapshotEvery is the default number of entries between two snapshots.
 	DefaultSnapshotEvery = 10_000
+	// DefaultSnapshotLogRatio is the default ratio of the log since the last
+	// snapshot to the state at which the next snapshot is taken.
+	DefaultSnapshotLogRatio = 1.0
+	// MinSnapshotLogBytes is the size of the log since the last snapshot below which
+	// no snapshot is taken because of the size, so that a small state is not
+	// written with every few commands.
+	MinSnapshotLogBytes = 4 << 20
 	// MaxProposalBytes limits the size of one command.
 	MaxProposalBytes = 1 << 20
 
@@ -79,6 +87,10 @@
 	Voters int
 	// SnapshotEvery is the number of entries between two snapshots.
 	SnapshotEvery uint64
+	// SnapshotLogRatio is the ratio of the size of the log since the last snapshot to
+	// the size of the state above which a snapshot is taken before SnapshotEvery
+	// entries, if the log exceeds MinSnapshotLogBytes.
+	SnapshotLogRatio float64
 	// TrailingEntries is the number of entries before a snapshot that stay in the
 	// log.
 	TrailingEntries uint64
@@ -115,6 +127,8 @@
 	countedLeader    leaderInfo                        // last leader and term counted as a change; owned by the loop
 	admissionLogged  bool                              // whether the admission was logged; owned by the loop
 
+	logBytes atomic.Int64 // size of the log in memory, for the metrics
+
 	closing   chan struct{}
 	closeOnce sync.Once
 	done      chan struct{}
@@ -167,7 +181,7 @@
 		reads: map[uint64]chan replica.ReadState{}, closing: make(chan struct{}), done: make(chan struct{}),
 		leaderChanged: make(chan struct{}),
 	}
-	s.applier = newApplier(s, sm, state.Snapshot.GetIndex())
+	s.applier = newApplier(s, sm, state.Snapshot)
 	s.snapshots = newSnapshotWriter(log)
 	if s.transport == nil {
 		s.transport = newGRPCTransport(s.log, cfg.DialOptions)
@@ -191,6 +205,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.SnapshotLogRatio == 0 {
+		c.SnapshotLogRatio = DefaultSnapshotLogRatio
+	}
 	if c.Logger == nil {
 		c.Logger = slog.Default()
 	}
--- a/replica/server/snapshot.go
+++ b/replica/server/snapshot.go
@@ -148,6 +148,7 @@
 	if err := s.wal.InstallSnapshot(result.file); err != nil {
 		return err
 	}
+	s.applier.stateBytes.Store(int64(len(result.snapshot.GetData())))
 	s.node.Compact(result.snapshot)
 	s.snapshots.requestCleanup()
 	s.applier.snapshotPending.Store(false)
--- a/replica/status.go
+++ b/replica/status.go
@@ -65,6 +65,10 @@
 	return status
 }
 
+// LogBytes returns the size of the entries in memory: those that no snapshot covers
+// yet, and those that are kept for members that are slightly behind.
+func (n *Node) LogBytes() int { return n.log.bytes }
+
 // Counters are totals since the node was created.
 type Counters struct {
 	// PreVotes and Votes count the elections that the node started, by phase. An
