wal: read segments frame by frame

Segments are read one frame at a time; a whole segment is read only to tell a torn write from corruption. TestSegmentsAreReadAsStream fails without it; the tests of each failing file operation and of each flipped bit pass unchanged.

--- a/wal/fs.go
+++ b/wal/fs.go
@@ -22,6 +22,8 @@
 	Create(path string) (File, error)
 	// Append truncates an existing file to size and opens it for appending.
 	Append(path string, size int64) (File, error)
+	// Open opens an existing file for reading from its beginning.
+	Open(path string) (io.ReadCloser, error)
 	// ReadFile returns the content of a file; fs.ErrNotExist if there is none.
 	ReadFile(path string) ([]byte, error)
 	// List returns the names in a directory, sorted.
@@ -87,6 +89,9 @@
 	return file, nil
 }
 
+// Open implements FS.
+func (OS) Open(path string) (io.ReadCloser, error) { return os.Open(path) }
+
 // ReadFile implements FS.
 func (OS) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
 
--- a/wal/load.go
+++ b/wal/load.go
@@ -86,14 +86,18 @@
 		return corruptError(path, 0, fmt.Sprintf("the preceding segment %d is missing", r.lastSequence+1))
 	}
 	r.lastSequence = sequence
-	data, err := l.options.FS.ReadFile(path)
+	segmentFrames, err := l.openFrames(path)
 	if err != nil {
 		return ioError("reading "+path, err)
 	}
+	defer segmentFrames.close()
 	r.chain, r.syncCount = 0, 0
 	offset := 0
 	for {
-		f, status := readFrame(data, offset, r.chain, r.syncCount)
+		f, status, err := segmentFrames.next(offset, r.chain, r.syncCount)
+		if err != nil {
+			return ioError("reading "+path, err)
+		}
 		torn := status == frameTorn && last && offset > 0
 		if status == frameEnd && offset > 0 || torn {
 			break
@@ -139,12 +143,22 @@
 			r.entries = nil
 			r.lastIndex = record.GetIndex()
 		}
+		r.dropCovered(record.GetIndex())
 	case *pb.Entry:
 		return r.applyEntry(record)
 	}
 	return ""
 }
 
+// dropCovered releases the entries that a snapshot at index covers.
+func (r *replay) dropCovered(index uint64) {
+	covered := 0
+	for covered < len(r.entries) && r.entries[covered].GetIndex() <= index {
+		covered++
+	}
+	r.entries = append([]*pb.Entry(nil), r.entries[covered:]...)
+}
+
 // applyEntry appends an entry after discarding any entries from its index on. It
 // returns what is wrong with the entry, or "".
 func (r *replay) applyEntry(entry *pb.Entry) string {
--- a/wal/memfs_test.go
+++ b/wal/memfs_test.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"io/fs"
@@ -19,8 +20,9 @@
 	names           map[string]*memFile // as seen by processes
 	durable         map[string]*memFile // as of the last SyncDir
 	calls           int
-	failAt          int    // number of the first operation that fails, as do all after it; 0 for none
-	failedOperation string // kind of the first operation that failed
+	failAt          int      // number of the first operation that fails, as do all after it; 0 for none
+	failedOperation string   // kind of the first operation that failed
+	readWhole       []string // paths of the files that were read at once
 }
 
 type memFile struct {
@@ -95,8 +97,16 @@
 	return file, nil
 }
 
+func (m *memFS) Open(path string) (io.ReadCloser, error) {
+	if file := m.names[path]; file != nil {
+		return io.NopCloser(bytes.NewReader(file.data)), nil
+	}
+	return nil, fs.ErrNotExist
+}
+
 func (m *memFS) ReadFile(path string) ([]byte, error) {
 	if file := m.names[path]; file != nil {
+		m.readWhole = append(m.readWhole, path)
 		return slices.Clone(file.data), nil
 	}
 	return nil, fs.ErrNotExist
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -366,3 +366,22 @@
 		}
 	})
 }
+
+// TestSegmentsAreReadAsStream guards against a start that holds whole segments in memory beside what is
+// decoded from them, and so needs more than the process had before.
+func TestSegmentsAreReadAsStream(t *testing.T) {
+	is := is.New(t)
+	m := newMemFS(1)
+	l, _, err := openMem(m)
+	is.NoErr(err)
+	_, target, err := runSteps(l)
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	m.readWhole = nil
+	_, state, err := openMem(m)
+	is.NoErr(err)
+	is.Equal(stateDiff(state, target), "")
+	for _, path := range m.readWhole {
+		is.True(!strings.HasSuffix(path, segmentSuffix))
+	}
+}
