control: a refusal by a full log does not outweigh an unknown outcome

A call that is forwarded to the leader is tried again after an unknown outcome. If the second attempt met a log that is full, its refusal, "not run", was returned, although the first attempt may have been committed.

Such a refusal now counts like one for want of a leader: the earlier unknown outcome is returned. TestCallsRetryAcrossLeaderChange has the case and failed before.

--- a/control/forward.go
+++ b/control/forward.go
@@ -121,7 +121,7 @@
 // error does not come from the state, it returns the earlier error instead.
 func finalError(last, uncertain error) error {
 	switch fault.KindOf(last) {
-	case fault.NotLeader, fault.NoQuorum, fault.Unavailable:
+	case fault.NotLeader, fault.NoQuorum, fault.Unavailable, fault.Overloaded:
 		if uncertain != nil {
 			return uncertain
 		}
--- a/control/forward_test.go
+++ b/control/forward_test.go
@@ -60,6 +60,8 @@
 		is.Equal(attempts, 1)
 		_, err = call(0, false, lost, notLeader)
 		is.True(fault.Is(err, fault.Unknown)) // the first attempt may have been decided
+		_, err = call(0, false, lost, fault.New(fault.Overloaded, "the log is full", ""))
+		is.True(fault.Is(err, fault.Unknown)) // the same
 		_, err = call(0, false, fault.New(fault.Conflict, "the state has changed", ""))
 		is.True(fault.Is(err, fault.Conflict))
 		_, err = call(time.Hour, false, nil)
--- a/replica/server/propose.go
+++ b/replica/server/propose.go
@@ -71,8 +71,8 @@
 
 // Propose commits a command and returns the result of applying it on this replica.
 //
-// Errors: fault.NotLeader, fault.NoQuorum and fault.Unavailable mean that the
-// command was not and never will be committed. fault.Unknown means that it may have
+// Errors: fault.NotLeader, fault.NoQuorum, fault.Unavailable and fault.Overloaded mean
+// that the command was not and never will be committed. fault.Unknown means that it may have
 // been committed, or may yet be, because ctx ended, the leadership was lost or the
 // replica stopped. The caller must then look up the outcome by an id inside the
 // command.
