--- a/wal/frames.go
+++ b/wal/frames.go
@@ -43,7 +43,7 @@
 	case whole:
 		return f, frameValid, nil
 	}
-	// What follows a damaged frame tells a torn write from corruption.
+	// What follows a damaged frame distinguishes a torn write from corruption.
 	data, err := s.log.options.FS.ReadFile(s.path)
 	if err != nil {
 		return frame{}, frameCorrupt, err
