routed: the test of early ends allows a minute for its request body

The test entry allows 200 ms for the body of a request, and the test sends 8 MiB. On a busy machine the entry answers 408, which the test took for a response that was not delivered. A reset that was expected counted as passed in the same way, although no endpoint had been asked.

Change: this test's entry allows a minute. The test asserts besides that an endpoint got the request, and logs the status of each response.

--- a/routed/earlyend_test.go
+++ b/routed/earlyend_test.go
@@ -5,7 +5,9 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -56,7 +58,10 @@
 				is := is.New(t)
 				b := newTestEntry(t)
 				b.server.config.MaxBodyBytes = 2 * unreadBody
+				b.server.config.BodyTimeout = time.Minute // a busy machine takes long for a body of this size
+				var requests atomic.Int32
 				respond := func(r *http.Request) (string, bool) {
+					requests.Add(1)
 					switch {
 					case !c.resumed:
 						return c.head + c.body, reset
@@ -68,6 +73,10 @@
 				b.addEarlyEndpoint("e1", respond)
 				b.addEarlyEndpoint("e2", respond)
 				response, text, err := b.do(http.MethodPost, c.target, strings.Repeat("b", unreadBody), nil)
+				is.True(requests.Load() > 0)
+				if response != nil {
+					t.Logf("status %d, %d bytes, error %v", response.StatusCode, len(text), err)
+				}
 				whole := err == nil && response.Header.Get(signature) != ""
 				is.Equal(whole, !reset)
 				is.True(!whole || text == c.body)
