eventstream, routed: read a stream into the splitter's own buffer

Callers saw nothing of it: an entry used more memory per stream than its bound.

Cause: the cost per stream has grown to 91 to 98 KiB, and the bound covers 2,000 readers. A busy machine begins the streams slowly, so that the first are cut off before the last begin: with 1,100 to 1,870 in flight the bound holds, with 1,906 and 1,968 it does not (94 and 91 KiB each). A heap profile shows two buffers of 4 KiB or more per stream for the same bytes: the one that deliverStream reads into and the splitter's. Ruled out: the work since, which costs as much (93 to 128 KiB with 1,074 to 1,726 in flight).

Change: Splitter.ReadEvents reads into the splitter's buffer, as far as it has room, and makes room of at least 512 bytes.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -8,6 +8,8 @@
 
 import (
 	"bytes"
+	"io"
+	"slices"
 	"strconv"
 
 	"github.com/lilackeel/lilackeel/fault"
@@ -16,10 +18,17 @@
 // MaxEventBytes is the maximum size of one event; a larger event is an error.
 const MaxEventBytes = 1 << 20
 
+const (
+	// bufferSize is the initial size of a splitter's buffer in bytes.
+	bufferSize = 4 << 10
+	// minReadSize is the least number of bytes for which ReadEvents makes room.
+	minReadSize = 512
+)
+
 // Splitter splits the bytes of a stream into complete events. The zero value is ready for a
 // stream from its beginning.
 type Splitter struct {
-	// buffer contains the events that the last call of Add returned and, from the offset partial,
+	// buffer contains the events that the last call returned and, from the offset partial,
 	// the bytes after the last complete event of the attempt.
 	buffer  []byte
 	partial int
@@ -52,9 +61,34 @@
 // They are valid until the next call. An error means that the attempt does not continue the
 // stream where it was interrupted.
 func (s *Splitter) Add(data []byte) ([]byte, error) {
-	s.buffer = append(s.buffer[:0], s.buffer[s.partial:]...)
+	s.removeReturned()
 	s.buffer = append(s.buffer, data...)
+	return s.split()
+}
+
+// ReadEvents is Add for the bytes of one call of Read, which it reads into the buffer of the
+// splitter. readErr is the error of that call, which may come together with events.
+func (s *Splitter) ReadEvents(r io.Reader) (events []byte, readErr, err error) {
+	s.removeReturned()
+	size := len(s.buffer)
+	if size == 0 {
+		s.buffer = slices.Grow(s.buffer, bufferSize)
+	}
+	s.buffer = slices.Grow(s.buffer, minReadSize)
+	n, readErr := r.Read(s.buffer[size:cap(s.buffer)])
+	s.buffer = s.buffer[:size+n]
+	events, err = s.split()
+	return events, readErr, err
+}
+
+// removeReturned removes the events that the last call returned from the buffer.
+func (s *Splitter) removeReturned() {
+	s.buffer = append(s.buffer[:0], s.buffer[s.partial:]...)
 	s.partial = 0
+}
+
+// split returns the complete events in the buffer that are new.
+func (s *Splitter) split() ([]byte, error) {
 	emitted := 0
 	for {
 		end := eventLength(s.buffer[s.partial:])
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"strings"
 	"testing"
+	"testing/iotest"
 
 	"github.com/matryer/is"
 )
@@ -53,6 +56,30 @@
 	is.True(!s.Partial())
 }
 
+// TestReadEventsYieldsSameEvents guards against bytes that are lost or repeated when a stream is read
+// into the splitter's own buffer, with events shorter and longer than it.
+func TestReadEventsYieldsSameEvents(t *testing.T) {
+	is := is.New(t)
+	whole := events(1, 40) + "id: 41\ndata: " + strings.Repeat("x", 3*bufferSize) + "\n\n" + events(42, 60)
+	for _, reader := range []io.Reader{
+		strings.NewReader(whole), iotest.OneByteReader(strings.NewReader(whole)), iotest.HalfReader(strings.NewReader(whole)),
+		iotest.DataErrReader(strings.NewReader(whole)),
+	} {
+		var s Splitter
+		got, readErr := "", error(nil)
+		for readErr == nil {
+			var out []byte
+			var err error
+			out, readErr, err = s.ReadEvents(reader)
+			is.NoErr(err)
+			got += string(out)
+		}
+		is.Equal(readErr, io.EOF)
+		is.Equal(got, whole)
+		is.True(!s.Partial())
+	}
+}
+
 func TestMissingEventAfterResumeIsAnError(t *testing.T) {
 	is := is.New(t)
 	var s Splitter
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// readBufferSize is the size of the buffer for reads of a response body. A caller that reads
-	// slowly holds one such buffer, and about as much in the splitter of a stream.
+	// readBufferSize is the size of the buffer for reads of a response body that is not a stream. A
+	// caller that reads slowly holds one such buffer.
 	readBufferSize = 4 << 10
 	// maxRefusalBytes is how much of a refusal's body is read so that its connection can be
 	// reused.
@@ -207,10 +207,8 @@
 	if len(a.tried) > 1 || a.headWritten {
 		a.splitter.Resume()
 	}
-	buffer := make([]byte, readBufferSize)
 	for {
-		n, err := r.Body.Read(buffer)
-		events, splitErr := a.splitter.Add(buffer[:n])
+		events, err, splitErr := a.splitter.ReadEvents(r.Body)
 		if len(events) > 0 {
 			a.recordChunk()
 			if writeErr := a.writeEvents(r, events); writeErr != nil {
