--- a/replica/server/apply.go
+++ b/replica/server/apply.go
@@ -27,12 +27,16 @@
 	advanced     chan struct{} // closed and replaced when applied grows
 	snapshot     uint64        // index of the last snapshot; owned by run
 	logBytes     int           // size of the commands applied since then; owned by run
+	diskFreed    bool          // a snapshot was captured since the reserve went missing; owned by run
 	// stateBytes is the size of the state in the last finished snapshot.
 	stateBytes atomic.Int64
 	// snapshotPending is set by run when it captures the state, and cleared by the
 	// loop when the snapshot is installed or dropped.
 	snapshotPending atomic.Bool
 
+	// stillFull receives a value if the last snapshot has not freed the disk.
+	stillFull chan struct{}
+
 	// captures and failed are received by the loop.
 	captures chan capturedState
 	failed   chan error
@@ -45,7 +49,7 @@
 	a := &applier{
 		server: s, sm: sm, applied: restored.GetIndex(), snapshot: restored.GetIndex(),
 		queueChanged: make(chan struct{}, 1), advanced: make(chan struct{}),
-		captures: make(chan capturedState, 1), failed: make(chan error, 1),
+		stillFull: make(chan struct{}, 1), captures: make(chan capturedState, 1), failed: make(chan error, 1),
 		stopping: make(chan struct{}), stopped: make(chan struct{}),
 	}
 	a.stateBytes.Store(int64(len(restored.GetData())))
@@ -84,6 +88,9 @@
 		case <-a.stopping:
 			return
 		case <-a.queueChanged:
+		case <-a.stillFull:
+			a.diskFreed = false
+			a.maybeCapture()
 		}
 		for _, job := range a.takeQueue() {
 			if err := a.apply(job); err != nil {
@@ -163,27 +170,38 @@
 }
 
 // snapshotDue reports whether enough entries, or enough bytes of them, were applied
-// since the last snapshot.
+// since the last snapshot, or whether a full disk has to be freed.
 func (a *applier) snapshotDue() bool {
 	cfg := &a.server.cfg
-	if a.index() >= a.snapshot+cfg.SnapshotEvery {
+	if a.index() >= a.snapshot+cfg.SnapshotEvery || a.freesDisk() {
 		return true
 	}
 	ratio := float64(a.logBytes) / float64(max(a.stateBytes.Load(), 1))
 	return a.logBytes > MinSnapshotLogBytes && ratio > cfg.SnapshotLogRatio
 }
 
+// freesDisk reports whether a snapshot is due because the reserve is missing: one at first, and
+// one more whenever the last one has not freed the disk.
+func (a *applier) freesDisk() bool {
+	a.diskFreed = a.diskFreed && a.server.wal.ReserveMissing()
+	return !a.diskFreed && a.index() > a.snapshot && a.server.wal.ReserveMissing()
+}
+
 // maybeCapture captures the state if a snapshot is due and the last one is finished.
 func (a *applier) maybeCapture() {
 	if !a.snapshotDue() || !a.snapshotPending.CompareAndSwap(false, true) {
 		return
 	}
 	index := a.index()
+	if a.server.wal.ReserveMissing() {
+		a.server.log.Warn("saving a snapshot to free the disk", "snapshot", index)
+	}
 	started := time.Now()
 	a.captures <- capturedState{index: index, encode: captureState(a.sm)}
 	captureSeconds.UpdateDuration(started)
 	a.snapshot = index
 	a.logBytes = 0
+	a.diskFreed = true
 }
 
 func (a *applier) stop() {
--- a/replica/server/metrics.go
+++ b/replica/server/metrics.go
@@ -23,6 +23,12 @@
 		return float64(term)
 	})
 	metrics.GetOrCreateGauge("lilackeel_replica_log_bytes", func() float64 { return float64(s.logBytes.Load()) })
+	metrics.GetOrCreateGauge("lilackeel_replica_reserve_missing", func() float64 {
+		if s.wal.ReserveMissing() {
+			return 1
+		}
+		return 0
+	})
 	metrics.GetOrCreateGauge(`lilackeel_replica_queue_length{queue="proposals"}`, func() float64 {
 		return float64(len(s.proposals))
 	})
--- a/replica/server/propose.go
+++ b/replica/server/propose.go
@@ -122,10 +122,13 @@
 // due, for the commands that are committed while the snapshot is written.
 const maxPendingLogBytes = 32 << 20
 
-// checkLogSize refuses a command that the log has no room for until the next snapshot.
+// checkLogSize refuses a command that the log or the disk has no room for until the next snapshot.
 func (s *Server) checkLogSize(size int) error {
 	due := max(MinSnapshotLogBytes, int(s.cfg.SnapshotLogRatio*float64(s.applier.stateBytes.Load())))
 	limit := replica.DefaultTrailingBytes + due + maxPendingLogBytes
+	if s.wal.ReserveMissing() {
+		return fault.New(fault.Overloaded, "not run: the disk has no room for the next snapshot", "free space on the disk of the control replicas").RetryIn(time.Second)
+	}
 	if held := s.node.LogBytes(); held+size > limit {
 		return fault.Newf(fault.Overloaded, "retry after the given time; if the error persists, check the disk of the control replicas",
 			"not run: the log holds %d bytes that no snapshot covers yet, of %d at most", held, limit).RetryIn(time.Second)
--- a/replica/server/server.go
+++ b/replica/server/server.go
@@ -43,6 +43,12 @@
 	// MaxProposalBytes limits the size of one command.
 	MaxProposalBytes = 1 << 20
 
+	// DefaultSnapshotReserve is the default of Config.SnapshotReserve: the state grows by no more
+	// than the log until the next snapshot.
+	DefaultSnapshotReserve = MinSnapshotLogBytes
+	// reserveRetryInterval is the time between attempts to keep that room free on a full disk.
+	reserveRetryInterval = time.Second
+
 	inboxSize     = 4096
 	proposalsSize = 1024
 )
@@ -91,6 +97,9 @@
 	// the size of the state above which a snapshot is taken before SnapshotEvery
 	// entries, if the log exceeds MinSnapshotLogBytes.
 	SnapshotLogRatio float64
+	// SnapshotReserve is how many bytes beyond twice the size of the last snapshot are kept free on
+	// the disk for the next one.
+	SnapshotReserve int64
 	// TrailingEntries is the number of entries before a snapshot that stay in the
 	// log.
 	TrailingEntries uint64
@@ -151,7 +160,7 @@
 // empty.
 func Open(cfg Config, sm StateMachine) (*Server, error) {
 	cfg.setDefaults()
-	log, state, err := wal.Open(wal.Options{Dir: cfg.DataDir, FS: cfg.FS, NewIdentity: randomNumber})
+	log, state, err := wal.Open(wal.Options{Dir: cfg.DataDir, FS: cfg.FS, Reserve: cfg.SnapshotReserve, NewIdentity: randomNumber})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -182,7 +191,7 @@
 		leaderChanged: make(chan struct{}),
 	}
 	s.applier = newApplier(s, sm, state.Snapshot)
-	s.snapshots = newSnapshotWriter(log)
+	s.snapshots = newSnapshotWriter(log, s.applier.stillFull)
 	if s.transport == nil {
 		s.transport = newGRPCTransport(s.log, cfg.DialOptions)
 	}
@@ -190,6 +199,9 @@
 		"snapshot", state.Snapshot.GetIndex(), "entries", len(state.Entries))
 	s.exportMetrics()
 	go s.applier.run()
+	if !log.ReserveMissing() {
+		s.snapshots.requestCleanup() // a new disk has no reserve yet; others save a snapshot first
+	}
 	go s.snapshots.run()
 	go s.loop()
 	return s, nil
@@ -208,6 +220,9 @@
 	if c.SnapshotLogRatio == 0 {
 		c.SnapshotLogRatio = DefaultSnapshotLogRatio
 	}
+	if c.SnapshotReserve == 0 {
+		c.SnapshotReserve = DefaultSnapshotReserve
+	}
 	if c.Logger == nil {
 		c.Logger = slog.Default()
 	}
--- a/replica/server/snapshot.go
+++ b/replica/server/snapshot.go
@@ -40,8 +40,10 @@
 	jobs     chan snapshotJob
 	cleanups chan struct{}
 	results  chan snapshotResult
-	stopping chan struct{}
-	stopped  chan struct{}
+	// stillFull is sent to while a cleanup has not freed enough of the disk.
+	stillFull chan<- struct{}
+	stopping  chan struct{}
+	stopped   chan struct{}
 }
 
 // snapshotJob is a snapshot whose data is still to be encoded.
@@ -57,25 +59,36 @@
 	err      error
 }
 
-func newSnapshotWriter(log *wal.Log) *snapshotWriter {
+func newSnapshotWriter(log *wal.Log, stillFull chan<- struct{}) *snapshotWriter {
 	return &snapshotWriter{
-		wal: log, jobs: make(chan snapshotJob, 1), cleanups: make(chan struct{}, 1), results: make(chan snapshotResult, 1),
+		wal: log, stillFull: stillFull, jobs: make(chan snapshotJob, 1), cleanups: make(chan struct{}, 1), results: make(chan snapshotResult, 1),
 		stopping: make(chan struct{}), stopped: make(chan struct{}),
 	}
 }
 
 func (w *snapshotWriter) run() {
 	defer close(w.stopped)
+	var retry <-chan time.Time
 	for {
 		select {
 		case <-w.stopping:
 			return
+		case <-retry:
+			select {
+			case w.stillFull <- struct{}{}:
+			default: // the applier has not handled the last one
+			}
+			w.requestCleanup()
 		case job := <-w.jobs:
 			w.report(w.write(job))
 		case <-w.cleanups:
 			if err := w.wal.RemoveObsolete(); err != nil {
 				w.report(snapshotResult{err: err})
 			}
+			retry = nil
+			if w.wal.ReserveMissing() {
+				retry = time.After(reserveRetryInterval)
+			}
 		}
 	}
 }
--- a/wal/fs.go
+++ b/wal/fs.go
@@ -26,6 +26,8 @@
 	Open(path string) (io.ReadCloser, error)
 	// ReadFile returns the content of a file; fs.ErrNotExist if there is none.
 	ReadFile(path string) ([]byte, error)
+	// Size returns the size of a file in bytes; fs.ErrNotExist if there is none.
+	Size(path string) (int64, error)
 	// List returns the names in a directory, sorted.
 	List(path string) ([]string, error)
 	// Rename moves the file at from to to, replacing any file there.
@@ -95,6 +97,15 @@
 // ReadFile implements FS.
 func (OS) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
 
+// Size implements FS.
+func (OS) Size(path string) (int64, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return 0, err
+	}
+	return info.Size(), nil
+}
+
 // List implements FS.
 func (OS) List(path string) ([]string, error) {
 	entries, err := os.ReadDir(path)
--- a/wal/load.go
+++ b/wal/load.go
@@ -26,6 +26,8 @@
 	if err != nil {
 		return State{}, err
 	}
+	l.snapshotIndex = replayed.mark.GetIndex()
+	l.loadReserve(isNew)
 	if state.Label, err = l.loadLabel(isNew); err != nil {
 		return State{}, err
 	}
--- a/wal/segment.go
+++ b/wal/segment.go
@@ -22,7 +22,11 @@
 // renames the file into place.
 func (l *Log) startSegment(next segment) error {
 	name := segmentName(next.sequence)
-	file, err := l.options.FS.Create(l.path(name + temporarySuffix))
+	var file File
+	err := l.withReserve(func() (err error) {
+		file, err = l.options.FS.Create(l.path(name + temporarySuffix))
+		return err
+	})
 	if err != nil {
 		return l.fail("creating a segment", err)
 	}
@@ -88,7 +92,8 @@
 	l.segments = append([]segment(nil), l.segments[dropped:]...)
 }
 
-// RemoveObsolete removes the files that installed snapshots have replaced. Since
+// RemoveObsolete removes the files that installed snapshots have replaced, and occupies the room that
+// is kept free for the next snapshot. Since
 // removing large files takes long, it may run concurrently with the other methods.
 // Files that remain after a crash are removed at the next start or with the next
 // snapshot.
@@ -101,7 +106,7 @@
 		}
 		name := l.nextObsolete()
 		if name == "" {
-			return nil
+			return l.occupyReserve()
 		}
 		if err := l.options.FS.Remove(l.path(name)); err != nil {
 			return l.fail("removing "+name, err)
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -91,6 +91,9 @@
 		l.lastIndex = file.index
 	}
 	l.snapshotIndex = file.index
+	l.mu.Lock()
+	l.reserve.snapshotSize = int64(file.size)
+	l.mu.Unlock()
 	if err := l.roll(); err != nil {
 		return err
 	}
@@ -106,18 +109,25 @@
 	if err != nil {
 		return 0, err
 	}
+	if err := l.withReserve(func() error { return l.replaceFileWith(name, data) }); err != nil {
+		return 0, err
+	}
+	return len(data), nil
+}
+
+func (l *Log) replaceFileWith(name string, data []byte) error {
 	temporary := l.path(name + temporarySuffix)
 	file, err := l.options.FS.Create(temporary)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	if err := writeSynced(file, data); err != nil {
-		return 0, err
+		return err
 	}
 	if err := l.options.FS.Rename(temporary, l.path(name)); err != nil {
-		return 0, err
+		return err
 	}
-	return len(data), l.options.FS.SyncDir(l.options.Dir)
+	return l.options.FS.SyncDir(l.options.Dir)
 }
 
 // writeSynced writes data in chunks, syncs after each and closes the file.
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -1,10 +1,12 @@
 package wal
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"path/filepath"
 	"sync"
+	"syscall"
 
 	"google.golang.org/protobuf/proto"
 
@@ -29,6 +31,9 @@
 	// SegmentMax is the size in bytes above which a segment is closed and the
 	// next one started; 64 MiB if zero.
 	SegmentMax int64
+	// Reserve is how many bytes of the disk are kept free for the next snapshot, in addition to twice
+	// the size of the last one; none are if it is zero.
+	Reserve int64
 	// NewIdentity returns a random non-zero number that identifies a new disk.
 	NewIdentity func() uint64
 }
@@ -58,6 +63,7 @@
 	chain         uint32    // payload checksum of the last frame, which the next one continues
 	syncCount     uint32    // syncs in the segment before the next frame
 	unsynced      bool
+	savesBatch    bool             // the buffer is part of a batch
 	lastIndex     uint64           // index of the last entry written
 	hardState     *pb.HardState    // the last saved hard state
 	mark          *pb.SnapshotMark // refers to the installed snapshot; nil if there is none
@@ -68,6 +74,7 @@
 	mu       sync.Mutex // guards the fields below
 	failure  error
 	obsolete []string // names of files to be removed, in this order
+	reserve  reserve
 }
 
 // segment is one file of the log.
@@ -120,6 +127,8 @@
 	if err := l.Err(); err != nil {
 		return err
 	}
+	l.savesBatch = true
+	defer func() { l.savesBatch = false }()
 	l.buffer = l.buffer[:0]
 	if batch.HardState != nil {
 		l.hardState = batch.HardState
@@ -134,6 +143,9 @@
 		l.lastIndex = entry.GetIndex()
 	}
 	if err := l.flush(); err != nil {
+		if errors.Is(err, syscall.ENOSPC) {
+			l.releaseReserve() // for the snapshot that the next start has to save
+		}
 		return err
 	}
 	if !batch.Sync {
@@ -196,18 +208,32 @@
 		return nil
 	}
 	l.unsynced = true
-	count, err := l.file.Write(l.buffer)
-	if err == nil && count < len(l.buffer) {
-		err = io.ErrShortWrite
-	}
-	if err != nil {
+	if err := l.writeBuffer(); err != nil {
 		return l.fail("writing the log", err)
 	}
-	l.currentSegment().size += int64(count)
+	l.currentSegment().size += int64(len(l.buffer))
 	l.currentSegment().lastIndex = l.lastIndex
 	return nil
 }
 
+// writeBuffer writes the buffer to the file. What belongs to a snapshot may use the reserve;
+// commands may not.
+func (l *Log) writeBuffer() error {
+	rest := l.buffer
+	write := func() error {
+		count, err := l.file.Write(rest)
+		rest = rest[count:]
+		if err == nil && len(rest) > 0 {
+			err = io.ErrShortWrite
+		}
+		return err
+	}
+	if l.savesBatch {
+		return write()
+	}
+	return l.withReserve(write)
+}
+
 // sync makes everything written durable.
 func (l *Log) sync() error {
 	if !l.unsynced {
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"maps"
 	"os"
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -367,6 +369,83 @@
 	})
 }
 
+// fillDisk saves entries until the disk is full. It returns what was acknowledged and the last entry.
+func fillDisk(l *Log) (m model, err error) {
+	for index := uint64(1); ; index++ {
+		entry := &pb.Entry{Index: index, Term: 1, Kind: pb.EntryKind_ENTRY_KIND_DATA, Data: make([]byte, 300)}
+		if err := l.Save(Batch{Entries: []*pb.Entry{entry}, Sync: true}); err != nil {
+			return m, err
+		}
+		m.entries = append(m.entries, entry)
+	}
+}
+
+// TestFullDiskIsFreed guards against a disk that is full of obsolete entries and stays so, because neither
+// the label of the next start nor the snapshot that would replace the entries can be written. The power
+// fails at each operation on the way, and no acknowledged entry is lost.
+func TestFullDiskIsFreed(t *testing.T) {
+	options := func(m *memFS) Options {
+		return Options{Dir: dir, FS: m, SegmentMax: 4 << 10, Reserve: 2 << 10, NewIdentity: m.rand.Uint64}
+	}
+	is := is.New(t)
+	for failAt := 0; ; failAt++ {
+		m := newMemFS(uint64(failAt))
+		m.capacity = 64 << 10
+		l, _, err := Open(options(m))
+		is.NoErr(err)
+		is.NoErr(l.RemoveObsolete()) // occupies the reserve
+		is.True(!l.ReserveMissing())
+		acknowledged, err := fillDisk(l)
+		is.True(errors.Is(err, syscall.ENOSPC))
+		free := func() error {
+			l, state, err := Open(options(m))
+			if err != nil {
+				return err
+			}
+			is.True(len(state.Entries) >= len(acknowledged.entries) || state.Snapshot != nil)
+			last := acknowledged.last()
+			if err := l.SaveSnapshot(&pb.Snapshot{Index: last, Term: 1, Data: make([]byte, 1<<10)}, false); err != nil {
+				return err
+			}
+			if l.ReserveMissing() {
+				return errors.New("no room for the next snapshot")
+			}
+			return l.Save(Batch{Entries: []*pb.Entry{{Index: max(last, uint64(len(state.Entries))) + 1, Term: 1, Data: make([]byte, 4<<10)}}, Sync: true})
+		}
+		if failAt > 0 {
+			m.calls, m.failAt = 0, failAt
+			err := free()
+			failed := m.failedOperation != ""
+			m.crash()
+			if !failed {
+				is.NoErr(err)
+				t.Logf("%d operations", failAt-1)
+				return
+			}
+		}
+		if err := free(); err != nil {
+			t.Fatalf("operation %d: %v", failAt, err)
+		}
+	}
+}
+
+// TestCoveredEntriesAreDropped guards against a start that holds entries which a snapshot has replaced until
+// all segments are read.
+func TestCoveredEntriesAreDropped(t *testing.T) {
+	is := is.New(t)
+	var r replay
+	for index := uint64(1); index <= 9; index++ {
+		is.Equal(r.applyEntry(&pb.Entry{Index: index, Term: 1}), "")
+	}
+	r.dropCovered(6)
+	is.Equal(len(r.entries), 3)
+	is.Equal(r.entries[0].GetIndex(), uint64(7))
+	is.Equal(cap(r.entries) < 9, true) // the dropped entries are not referred to any more
+	r.dropCovered(20)
+	is.Equal(len(r.entries), 0)
+	is.Equal(r.lastIndex, uint64(9))
+}
+
 // TestSegmentsAreReadAsStream guards against a start that holds whole segments in memory beside what is
 // decoded from them, and so needs more than the process had before.
 func TestSegmentsAreReadAsStream(t *testing.T) {
