memory, entry, routed: one budget for the bodies of all requests

Cause: the body of each request is read whole before its place is looked for, and nothing added the bodies up. 60 to 70 of the longest were enough.

A body is charged before it is read, or as its buffer grows if it states no length, twice, until its request has ended. Bodies above 64 KiB leave an eighth to smaller ones, those of one workspace a quarter to others. Metric lilackeel_entry_body_memory_bytes.

Ruled out: refusing without discarding the rest. The connection is then reset while the caller sends, and it never reads the refusal (TestBodiesShareMemory: "connection reset by peer").

TestBodiesShareMemory and TestBodiesExceedMemory fail without the refusal, the former without the discarding.

Left: the budget does not follow the host's memory, responses are not charged, and a place is still looked for after the body has been read.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -83,6 +83,27 @@
 	return fmt.Sprintf(`{"model":"draft","stream":%t,"max_tokens":%d,"messages":[{"role":"user","content":"explain the pairing"}]}`, stream, tokens)
 }
 
+// TestBodiesExceedMemory guards against bodies that are read, and requests that are run, although the memory
+// for bodies has no room for them.
+func TestBodiesExceedMemory(t *testing.T) {
+	f := start(t, overhead.FleetConfig{ConfigureEntry: func(c *entry.Config) { c.BodyMemory = 6000 }})
+	runs, _ := f.Engine.Counts()
+	effects := len(f.Service.Effects())
+	for _, path := range []string{"/v1/chat/completions", overhead.ServicePrefix + "/swap"} {
+		is := is.New(t)
+		got := send(t.Context(), f, "POST", path, strings.Repeat(" ", 3500))
+		is.NoErr(got.err)
+		is.Equal(got.status, 503)
+		is.Equal(string(got.refusal.Type), "overloaded")
+		is.Equal(got.outcome(), "not-run")
+		is.True(got.header.Get("Retry-After") != "")
+		is.Equal(send(t.Context(), f, "POST", overhead.ServicePrefix+"/swap", "x").status, 200)
+	}
+	runsAfter, _ := f.Engine.Counts()
+	is.New(t).Equal(runsAfter, runs)
+	is.New(t).Equal(len(f.Service.Effects()), effects+2)
+}
+
 // TestInvalidRequests sends each kind of invalid request that the entry detects. Each gets its own
 // status and a typed error with a remedy, and nothing is run.
 func TestInvalidRequests(t *testing.T) {
--- a/entry/models.go
+++ b/entry/models.go
@@ -19,6 +19,7 @@
 func (s *Server) serveCompletion(w http.ResponseWriter, r *http.Request, chat bool) {
 	q, v := s.parseHeaders(r, requestID(r))
 	if v == nil {
+		defer q.releaseBody()
 		v = s.parseCompletion(q, w, r, chat)
 	}
 	if v != nil {
@@ -29,8 +30,7 @@
 }
 
 func (s *Server) parseCompletion(q *request, w http.ResponseWriter, r *http.Request, chat bool) *call.Verdict {
-	var v *call.Verdict
-	if q.body, v = s.readBody(w, r); v != nil {
+	if v := s.readBody(w, r, q); v != nil {
 		return v
 	}
 	c, v := readCompletion(q.body, chat)
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -22,6 +22,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/feed"
 	"github.com/lilackeel/lilackeel/link"
+	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/routed"
 	"github.com/lilackeel/lilackeel/telemetry"
@@ -58,7 +59,7 @@
 // newRouted returns the server that answers requests by the routes of the published site.
 func newRouted(
 	cfg Config, table *endpoint.Table, loads *load.Tracker, outliers *outlier.Detector, picker *pick.Picker,
-	admissions *AdmissionController, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *PermitClient, suspects *suspicion.Tracker, speeds *speed.Tracker, logger *slog.Logger,
+	admissions *AdmissionController, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *PermitClient, suspects *suspicion.Tracker, speeds *speed.Tracker, bodies *memory.Budget, logger *slog.Logger,
 ) *routed.Server {
 	policy := cfg.policy()
 	headers := cfg.Headers
@@ -73,7 +74,7 @@
 	}
 	dependencies := routed.Dependencies{
 		Admitter: admissions, Picker: picker, Endpoints: table, Loads: loads, Outliers: outliers,
-		Reach: reached, Groups: groups, Client: client, Quarantine: crashes, RateLimits: permits, Suspects: suspects, Speeds: speeds, Budget: call.NewBudget(cfg.budget()), Logger: logger,
+		Reach: reached, Groups: groups, Client: client, Quarantine: crashes, RateLimits: permits, Suspects: suspects, Speeds: speeds, Budget: call.NewBudget(cfg.budget()), Bodies: bodies, Logger: logger,
 	}
 	return routed.NewServer(settings, dependencies, func() time.Duration { return time.Since(processStart) })
 }
@@ -86,6 +87,13 @@
 	return suspects
 }
 
+// newBodyBudget returns the budget of the bodies of all requests, on both interfaces.
+func newBodyBudget(cfg Config) *memory.Budget {
+	bodies := memory.NewBudget(cfg.BodyMemory)
+	metrics.GetOrCreateGauge(`lilackeel_entry_body_memory_bytes`, func() float64 { return float64(bodies.Held()) })
+	return bodies
+}
+
 func newReady() *telemetry.Ready { return telemetry.NewReady() }
 
 func newReach() *reach.Tracker { return reach.New() }
--- a/entry/request.go
+++ b/entry/request.go
@@ -12,6 +12,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
 )
 
@@ -47,8 +48,12 @@
 	// id is the request id of the caller, localID that of the entry, and dispatchID is composed of
 	// both.
 	id, localID, dispatchID string
-	workspace               *fleetv1.Workspace
-	directory               *snapshot
+	// bodyCharge is what the body occupies of the memory for all bodies; nil if there is none.
+	// finishRefusal is called after a response that was sent before the body was read, if not nil.
+	bodyCharge    *memory.Charge
+	finishRefusal func()
+	workspace     *fleetv1.Workspace
+	directory     *snapshot
 	// idempotencyKey identifies a call that must not run twice; keyFromCaller is true if the caller
 	// chose it.
 	idempotencyKey string
--- a/entry/server.go
+++ b/entry/server.go
@@ -16,6 +16,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/endpoint/prefix"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/telemetry"
 )
@@ -34,7 +35,9 @@
 	// Quarantine tracks the requests that may have crashed endpoints.
 	Quarantine *quarantine.Tracker
 	RateLimits *RateLimits
-	Logger     *slog.Logger
+	// Bodies limits the memory for the bodies of requests.
+	Bodies *memory.Budget
+	Logger *slog.Logger
 }
 
 // Server handles the requests of callers by the completions API and the services of the
--- a/entry/services.go
+++ b/entry/services.go
@@ -20,6 +20,7 @@
 func (s *Server) forwardToService(w http.ResponseWriter, r *http.Request) {
 	q, v := s.parseHeaders(r, requestID(r))
 	if v == nil {
+		defer q.releaseBody()
 		v = s.parseService(q, w, r)
 	}
 	if v != nil {
@@ -43,8 +44,7 @@
 	q.kind = "service"
 	q.repeatable = idempotent(route, r.Method)
 	q.limitDeadline(s.now(), route)
-	var v *call.Verdict
-	if q.body, v = s.readBody(w, r); v != nil {
+	if v := s.readBody(w, r, q); v != nil {
 		return v
 	}
 	q.pick.Pool = service.GetPool()
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -38,6 +38,7 @@
 	rateLimits := NewRateLimits(cfg, table, admissionController, logger)
 	suspicionTracker := newSuspects(cfg)
 	reportSubscriber := NewReportSubscriber(cfg, pool, table, loadTracker, index, detector, lockstepTracker, client, quarantineTracker, rateLimits, suspicionTracker, logger)
+	budget := newBodyBudget(cfg)
 	dependencies := Dependencies{
 		Directory:  directory,
 		Admitter:   admissionController,
@@ -50,13 +51,14 @@
 		Targets:    reportSubscriber,
 		Quarantine: quarantineTracker,
 		RateLimits: rateLimits,
+		Bodies:     budget,
 		Logger:     logger,
 	}
 	server := NewServer(cfg, dependencies)
 	reachTracker := newReach()
 	directClient := newDirectClient()
 	permitClient := NewPermitClient(rateLimits, reportSubscriber, pool)
-	routedServer := newRouted(cfg, table, loadTracker, detector, picker, admissionController, reachTracker, lockstepTracker, directClient, quarantineTracker, permitClient, suspicionTracker, tracker, logger)
+	routedServer := newRouted(cfg, table, loadTracker, detector, picker, admissionController, reachTracker, lockstepTracker, directClient, quarantineTracker, permitClient, suspicionTracker, tracker, budget, logger)
 	entryRelay, err := newRelay(cfg, client, logger)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/memory/budget.go
@@ -0,0 +1,122 @@
+// Package memory limits what the bodies of requests may occupy in a process together.
+package memory
+
+import (
+	"sync"
+	"time"
+
+	"github.com/lilackeel/lilackeel/fault"
+)
+
+const (
+	// SmallBytes is the size up to which a body may use the whole budget. Larger ones leave a part
+	// of it to them.
+	SmallBytes = 64 << 10
+	// smallDivisor is the part of the budget that is left to small bodies, as a divisor.
+	smallDivisor = 8
+	// ownerDivisor is the part of the budget that is closed to the large bodies of one owner, as a
+	// divisor.
+	ownerDivisor = 4
+	// copies is how often a body is charged: the buffers of its connections may hold it again.
+	copies = 2
+	// minRetryAfter and maxRetryAfter limit the delay that refused callers are asked to wait.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 5 * time.Second
+	// holdTimeWeight is the weight of the latest body in the average time for which bodies are held.
+	holdTimeWeight = 0.1
+)
+
+// Budget limits the bytes of all bodies in memory. Its zero value and nil have no limit.
+type Budget struct {
+	limit int64
+
+	mu       sync.Mutex
+	held     int64
+	byOwner  map[string]int64 // large bodies only
+	holdTime time.Duration    // average for large bodies
+}
+
+// NewBudget returns a budget of a number of bytes; zero is no limit.
+func NewBudget(limit int64) *Budget { return &Budget{limit: limit, byOwner: map[string]int64{}} }
+
+// Held returns the bytes that are charged now.
+func (b *Budget) Held() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// Charge is what one body occupies of a budget. It is used by one goroutine at a time.
+type Charge struct {
+	budget *Budget
+	owner  string
+	since  time.Time
+	size   int64
+}
+
+// Begin returns an empty charge for a body of an owner, such as a workspace.
+func (b *Budget) Begin(owner string) *Charge {
+	return &Charge{budget: b, owner: owner, since: time.Now()}
+}
+
+// Resize charges for a body of the given size. A fault of kind Overloaded means that there is no
+// room for it, and the charge stays as it is.
+func (c *Charge) Resize(size int64) error {
+	b := c.budget
+	if b == nil || b.limit == 0 {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if size > c.size && !b.hasRoom(c, size) {
+		return fault.New(fault.Overloaded, "not run: the bodies of other requests leave no room for this one", "retry after the given time").
+			RetryIn(min(max(b.holdTime, minRetryAfter), maxRetryAfter))
+	}
+	b.account(c, size)
+	return nil
+}
+
+// Release gives back what is charged, if there is a charge.
+func (c *Charge) Release() {
+	if c == nil || c.budget == nil || c.size == 0 {
+		return
+	}
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.size > SmallBytes {
+		b.holdTime += time.Duration(holdTimeWeight * float64(time.Since(c.since)-b.holdTime))
+	}
+	b.account(c, 0)
+}
+
+// hasRoom reports whether a charge may grow to size. The caller holds mu.
+func (b *Budget) hasRoom(c *Charge, size int64) bool {
+	held := b.held + copies*(size-c.size)
+	if size <= SmallBytes {
+		return held <= b.limit
+	}
+	owned := b.byOwner[c.owner] + copies*(size-largeSize(c.size))
+	return held <= b.limit-b.limit/smallDivisor && owned <= b.limit-b.limit/ownerDivisor
+}
+
+// account changes the size of a charge. The caller holds mu.
+func (b *Budget) account(c *Charge, size int64) {
+	b.held += copies * (size - c.size)
+	b.byOwner[c.owner] += copies * (largeSize(size) - largeSize(c.size))
+	if b.byOwner[c.owner] == 0 {
+		delete(b.byOwner, c.owner)
+	}
+	c.size = size
+}
+
+// largeSize returns the size of a body if it is not small, and zero otherwise.
+func largeSize(size int64) int64 {
+	if size <= SmallBytes {
+		return 0
+	}
+	return size
+}
--- /dev/null
+++ b/routed/bodies_test.go
@@ -0,0 +1,73 @@
+package routed
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/call"
+	"github.com/lilackeel/lilackeel/memory"
+)
+
+// TestBodiesShareMemory guards against bodies that are read although those of other requests fill the
+// memory of the entry, against a refusal that its caller cannot read because it is still sending, and against
+// small requests that large ones lock out.
+func TestBodiesShareMemory(t *testing.T) {
+	is := is.New(t)
+	b := newTestEntry(t, answerOK)
+	const size = 16 << 20
+	b.server.Bodies = memory.NewBudget(64 << 20)
+	b.server.config.MaxBodyBytes, b.server.config.BodyTimeout = size, time.Minute
+	body := strings.Repeat("b", size)
+
+	begin := func(text string) net.Conn {
+		c, err := net.Dial("tcp", strings.TrimPrefix(b.frontend.URL, "http://"))
+		is.NoErr(err)
+		t.Cleanup(func() { _ = c.Close() })
+		_, err = fmt.Fprintf(c, "POST /once/x HTTP/1.1\r\nHost: crew.example\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", testKey, size, text)
+		is.NoErr(err)
+		return c
+	}
+	slow := begin("b")
+	for b.server.Bodies.Held() == 0 { // the slow caller's body is charged before it arrives
+		time.Sleep(time.Millisecond)
+	}
+	for _, chunked := range []bool{false, true} {
+		r, err := http.NewRequest(http.MethodPost, b.frontend.URL+"/once/large", io.MultiReader(strings.NewReader(body)))
+		is.NoErr(err)
+		if !chunked {
+			r.ContentLength = size
+		}
+		r.Host, r.Header = "crew.example", http.Header{"Authorization": {"Bearer " + testKey}, "X-Request-Id": {"r1"}}
+		response, err := http.DefaultClient.Do(r)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		is.Equal(response.StatusCode, http.StatusServiceUnavailable)
+		is.Equal(response.Header.Get(call.HeaderOutcome), "not-run")
+		is.True(response.Header.Get("Retry-After") != "")
+	}
+	status := make([]byte, 12) // of a caller that reads only after it has sent the whole body
+	_, err := io.ReadFull(begin(body), status)
+	is.NoErr(err)
+	is.Equal(string(status), "HTTP/1.1 503")
+	response, _, err := b.do(http.MethodPost, "/once/small", strings.Repeat("b", 10<<10), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.NoErr(slow.Close())
+	for b.server.Bodies.Held() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	response, _, err = b.do(http.MethodPost, "/once/large", body, nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(len(b.requests()), 2)
+	for b.server.Bodies.Held() > 0 { // a response ends the charge
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/routed/request.go
+++ b/routed/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -11,10 +10,12 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/lilackeel/lilackeel/answer"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/site"
 	"github.com/lilackeel/lilackeel/wait"
@@ -40,7 +41,11 @@
 	method, target, host string
 	header               http.Header
 	body                 []byte
-	work                 load.Work
+	// bodyCharge is what the body occupies of the memory for all bodies; nil if there is none.
+	// finishRefusal is called after a response that was sent before the body was read, if not nil.
+	bodyCharge    *memory.Charge
+	finishRefusal func()
+	work          load.Work
 	// late is true if the caller is retrying and has already waited beyond the objective.
 	late bool
 	// parts are the parts of the prompt.
@@ -228,10 +233,11 @@
 	if r.ContentLength > limit {
 		return errBodyTooLarge(limit)
 	}
+	q.bodyCharge = s.Bodies.Begin(q.callerName())
 	control := http.NewResponseController(w)
 	bodyTimeout := min(s.config.BodyTimeout, max(q.deadline-s.clock(), time.Millisecond))
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := memory.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, q.bodyCharge)
 	if err == nil {
 		// On an error the deadline is kept, or the server would wait for the rest of the body.
 		_ = control.SetReadDeadline(time.Time{})
@@ -244,12 +250,23 @@
 		return nil
 	case errors.As(err, &tooLarge):
 		return errBodyTooLarge(limit)
+	case fault.Is(err, fault.Overloaded):
+		q.finishRefusal = answer.BeforeBody(w, r)
+		return call.RefuseWithStatus(http.StatusServiceUnavailable, fault.From(err))
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return call.RefuseWithStatus(http.StatusRequestTimeout, fault.New(fault.Invalid, "timed out reading the request body", "retry the request").WithCause(err))
 	}
 	return call.RefuseWithStatus(http.StatusBadRequest, fault.New(fault.Invalid, "the request body is incomplete", "retry the request").WithCause(err))
 }
 
+// releaseBody ends the request's use of the memory for bodies. It is called after the response.
+func (q *request) releaseBody() {
+	q.bodyCharge.Release()
+	if q.finishRefusal != nil {
+		q.finishRefusal()
+	}
+}
+
 func errBodyTooLarge(limit int64) *call.Verdict {
 	return call.RefuseWithStatus(http.StatusRequestEntityTooLarge, fault.Newf(fault.Invalid, "send a smaller body", "the body exceeds the limit of %d bytes", limit))
 }
--- a/routed/server.go
+++ b/routed/server.go
@@ -20,6 +20,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/ratelimit"
 	"github.com/lilackeel/lilackeel/site"
@@ -114,6 +115,8 @@
 	Speeds *speed.Tracker
 	Client *direct.Client
 	Budget *call.Budget
+	// Bodies limits the memory for the bodies of requests; nil is no limit.
+	Bodies *memory.Budget
 	Logger *slog.Logger
 }
 
@@ -190,6 +193,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	q, verdict := s.parse(w, r.WithContext(ctx))
+	defer q.releaseBody()
 	if verdict != nil {
 		s.refuse(w, r, q, verdict)
 		return
