answer, routed: close the connection of a request in chunks

Cause: net/http goes by the chunks, drops the length and reads what follows as the next request. The guard that refuses such a request looks for a head only where it expects one; an empty line before the head, or a head that comes in one read with the end of the request before, passed it.

Change: the connection of each request that net/http has read in chunks is closed after its response, on every listener of entries, agents, the platform and the admin pages, so that no order of bytes matters. The guard stays for the usual form and skips empty lines as net/http does.

Ruled out: following the framing in the guard; it would be a second parser that has to agree with net/http in every detail. Cost: callers that send chunks lose a connection that they could have used again.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/lilackeel/lilackeel/agent/ranks"
+	httpanswer "github.com/lilackeel/lilackeel/answer"
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/feed"
@@ -130,7 +131,7 @@
 // serveSteps serves step requests of ranks until ctx ends. That is after the calls in flight have
 // ended, because an engine needs further steps to finish them.
 func (d *Daemon) serveSteps(ctx context.Context) {
-	server := &http.Server{Handler: d.ranks.Handler(), ReadHeaderTimeout: stepsHeaderTimeout}
+	server := &http.Server{Handler: httpanswer.CloseAfterChunks(d.ranks.Handler()), ReadHeaderTimeout: stepsHeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(d.steps); !errors.Is(err, http.ErrServerClosed) {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/lilackeel/lilackeel/answer"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/fault"
@@ -169,7 +170,7 @@
 	}
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           d.server,
+		Handler:           answer.CloseAfterChunks(d.server),
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
@@ -184,7 +185,7 @@
 	guard := routed.FramingGuard{Listener: d.listener}
 	d.listener = guard
 	return &http.Server{
-		Handler:           d.routed,
+		Handler:           answer.CloseAfterChunks(d.routed),
 		Protocols:         protocols,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       d.config.CallerIdle,
--- a/routed/framing.go
+++ b/routed/framing.go
@@ -15,8 +15,9 @@
 
 // FramingGuard inspects the heads of requests on the connections of a listener. A request with
 // both Content-Length and Transfer-Encoding can be interpreted as two requests by another hop
-// (request smuggling). net/http drops the length, continues with the connection and does not
-// tell its handler; the guard does.
+// (request smuggling). net/http drops the length and does not show it to its handler; the guard does,
+// so that such a request is refused. It misses a head that comes in one read with the end of the request
+// before; answer.CloseAfterChunks keeps the rest of that connection from being run.
 type FramingGuard struct{ net.Listener }
 
 // guardKey is the context key of a guarded connection.
@@ -56,6 +57,8 @@
 type guardedConn struct {
 	net.Conn
 	inHead bool
+	// begun is set after the first line of the head.
+	begun bool
 	// line is the beginning of the current line, up to slightly more than the longest name of
 	// interest; nameRead is set after the colon.
 	line     []byte
@@ -76,7 +79,7 @@
 
 // nextHead resets the state for the head of the next request.
 func (c *guardedConn) nextHead() {
-	c.inHead = true
+	c.inHead, c.begun = true, false
 	c.nextLine()
 	c.hasLength, c.hasTransferEncoding = false, false
 	c.mixed.Store(false)
@@ -90,10 +93,11 @@
 // scan processes the next byte of a head.
 func (c *guardedConn) scan(char byte) {
 	switch {
-	case char == '\n' && len(c.line) == 0:
-		c.inHead = false
-	case char == '\n':
+	case char == '\n' && (len(c.line) > 0 || c.nameRead):
+		c.begun = true
 		c.nextLine()
+	case char == '\n':
+		c.inHead = !c.begun // net/http skips empty lines before a request
 	case char == '\r' || c.nameRead:
 	case char == ':':
 		c.nameRead = true
--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilackeel/lilackeel/answer"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/direct"
@@ -106,7 +107,7 @@
 		Budget: call.NewBudget(call.BudgetConfig{Ratio: 0.2, Burst: 100}), Logger: slog.New(slog.DiscardHandler),
 	}, func() time.Duration { return time.Since(began) })
 	b.server.Publish(site.NewTable(testSite()))
-	b.frontend = httptest.NewUnstartedServer(b.server)
+	b.frontend = httptest.NewUnstartedServer(answer.CloseAfterChunks(b.server))
 	guard := FramingGuard{Listener: b.frontend.Listener}
 	b.frontend.Listener = guard
 	b.frontend.Config.ConnState = func(c net.Conn, state http.ConnState) {
--- a/telemetry/admin.go
+++ b/telemetry/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/lilackeel/lilackeel/answer"
 	"github.com/lilackeel/lilackeel/fault"
 )
 
@@ -85,7 +86,7 @@
 			"cannot listen on %s", cfg.AdminListen).WithCause(err)
 	}
 	server := &http.Server{
-		Handler:           AdminHandler(ready),
+		Handler:           answer.CloseAfterChunks(AdminHandler(ready)),
 		ReadHeaderTimeout: adminReadHeaderTimeout,
 		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelWarn),
 	}
