routed: limit the time in which a refusal is written

Callers saw nothing; an entry kept the connection and the handler of a caller that sends requests which are refused and does not read the answers, for as long as the caller wished.

Cause: the write deadline is set before each write of a response, but not in refuse. Evidence: without the change TestRefusalsOfCallerThatDoesNotRead gets no end of the connection in 20 s, and the handler stands in the write at the end of its request.

Change: refuse sets the deadline as the other writes do. Ruled out: a deadline that is left from an earlier response of the connection and fails a later refusal; a test of it passed before the change. The other interface sets its deadline for all answers.

--- a/routed/routed_test.go
+++ b/routed/routed_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -282,6 +285,23 @@
 	}
 }
 
+// TestRefusalsOfCallerThatDoesNotRead guards against a caller that holds its connection and the handler of
+// its requests for good, because it does not read the refusals.
+func TestRefusalsOfCallerThatDoesNotRead(t *testing.T) {
+	is := is.New(t)
+	b := newTestEntry(t, answerOK)
+	b.server.config.WriteTimeout = 50 * time.Millisecond
+	c, err := net.Dial("tcp", strings.TrimPrefix(b.frontend.URL, "http://"))
+	is.NoErr(err)
+	defer func() { _ = c.Close() }()
+	requests := strings.Repeat("GET /nowhere HTTP/1.1\r\nHost: crew.example\r\n\r\n", 1000)
+	_ = c.SetWriteDeadline(time.Now().Add(20 * time.Second))
+	for err == nil {
+		_, err = io.WriteString(c, requests)
+	}
+	is.True(!errors.Is(err, os.ErrDeadlineExceeded)) // the entry has closed the connection
+}
+
 func TestBodyTimeout(t *testing.T) {
 	is := is.New(t)
 	b := newTestEntry(t, answerOK)
--- a/routed/server.go
+++ b/routed/server.go
@@ -214,6 +214,7 @@
 	if q.id != "" {
 		w.Header().Set(call.HeaderRequestID, q.id)
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(s.config.WriteTimeout))
 	err := answer.WriteVerdict(w, q.id, v, s.config.RetryAfterFormat)
 	s.metrics.recordRefused(v)
 	s.Logger.LogAttrs(r.Context(), slog.LevelInfo, "refused a request",
