--- a/measure/logsize/logsize.go
+++ b/measure/logsize/logsize.go
@@ -9,8 +9,9 @@
 	"log/slog"
 	"os"
 	"path/filepath"
-	"runtime"
+	"runtime/debug"
 	"slices"
+	"strings"
 	"time"
 
 	pb "github.com/lilackeel/lilackeel/api/replica/v1"
@@ -23,7 +24,7 @@
 
 // cases are the sizes of the state, in changes, and the numbers of changes measured.
 var cases = []struct{ parts, changes int }{
-	{1, 100}, {1, 1_000}, {1, 10_000}, {14, 1_000}, {71, 1_000},
+	{1, 100}, {1, 1_000}, {1, 10_000}, {14, 100}, {14, 1_000}, {14, 10_000}, {71, 100}, {71, 1_000}, {71, 10_000},
 }
 
 // parts is a state machine that consists of a number of parts. Each command replaces the next.
@@ -67,8 +68,8 @@
 
 // Run measures all cases and writes a table to w.
 func Run(w io.Writer, _ uint64, _ string) error {
-	fmt.Fprintln(w, "| state, MB | changes | disk, MB | memory, MB | change, median ms | worst ms | start, ms | memory at the start, MB |")
-	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|")
+	fmt.Fprintln(w, "| state, MB | changes | disk, MB | resident, MB | change, median ms | worst ms | beside a snapshot, median ms | worst ms | start, ms | resident at the start, MB |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|")
 	for _, c := range cases {
 		if err := measure(w, c.parts, c.changes); err != nil {
 			return err
@@ -83,12 +84,13 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
+	resetResident()
 	replica, err := open(dir, partCount)
 	if err != nil {
 		return err
 	}
-	disk, memory := int64(0), uint64(0)
-	var took []time.Duration
+	disk := int64(0)
+	var all, besideSnapshot []time.Duration
 	for change := range changes {
 		command := make([]byte, changeBytes)
 		command[0] = byte(change)
@@ -96,22 +98,28 @@
 		if err := whenLed(func() error { return propose(replica, command) }); err != nil {
 			return err
 		}
-		took = append(took, time.Since(began))
+		took := time.Since(began)
 		disk = max(disk, directoryBytes(dir))
-		memory = max(memory, heapBytes())
+		if change == 0 {
+			continue // it waited for the election
+		}
+		all = append(all, took)
+		if writesSnapshot(dir) {
+			besideSnapshot = append(besideSnapshot, took)
+		}
 	}
+	memory := maxResident()
 	if err := replica.Close(); err != nil {
 		return err
 	}
 	replica = nil
-	runtime.GC()
+	resetResident()
 	began := time.Now()
 	replica, err = open(dir, partCount)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = replica.Close() }()
-	atStart := heapBytes()
 	err = whenLed(func() error {
 		_, err := replica.ReadIndex(context.Background())
 		return err
@@ -120,13 +128,28 @@
 		return err
 	}
 	started := time.Since(began)
-	atStart = max(atStart, heapBytes())
-	slices.Sort(took[1:]) // the first one waited for the election
-	_, err = fmt.Fprintf(w, "| %.1f | %d | %.1f | %.0f | %.1f | %.0f | %.0f | %.0f |\n", megabytes(partCount*changeBytes), changes, megabytes(disk), megabytes(memory),
-		milliseconds(took[1:][len(took[1:])/2]), milliseconds(took[len(took)-1]), milliseconds(started), megabytes(atStart))
+	median, worst := summarize(all)
+	medianBeside, worstBeside := summarize(besideSnapshot)
+	_, err = fmt.Fprintf(w, "| %.1f | %d | %.1f | %.0f | %s | %s | %s | %s | %.0f | %.0f |\n", megabytes(partCount*changeBytes), changes,
+		megabytes(disk), megabytes(memory), median, worst, medianBeside, worstBeside, milliseconds(started), megabytes(maxResident()))
 	return err
 }
 
+// summarize returns the median and the longest of some times in milliseconds, "-" if there are none.
+func summarize(took []time.Duration) (median, worst string) {
+	if len(took) == 0 {
+		return "-", "-"
+	}
+	slices.Sort(took)
+	return fmt.Sprintf("%.1f", milliseconds(took[len(took)/2])), fmt.Sprintf("%.0f", milliseconds(took[len(took)-1]))
+}
+
+// writesSnapshot reports whether a snapshot is being written.
+func writesSnapshot(dir string) bool {
+	names, _ := filepath.Glob(filepath.Join(dir, "*.snap.tmp"))
+	return len(names) > 0
+}
+
 func open(dir string, partCount int) (*server.Server, error) {
 	return server.Open(server.Config{
 		ID: 1, DataDir: dir, Peers: map[uint64]string{1: "self"}, ElectionTimeout: 100 * time.Millisecond,
@@ -161,11 +184,22 @@
 	return size
 }
 
-// heapBytes returns the memory in use by live objects and those not collected yet.
-func heapBytes() uint64 {
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return stats.HeapInuse
+// resetResident returns unused memory to the operating system and resets what maxResident reports.
+func resetResident() {
+	debug.FreeOSMemory()
+	const resetPeak = "5"
+	_ = os.WriteFile("/proc/self/clear_refs", []byte(resetPeak), 0)
+}
+
+// maxResident returns the largest resident set of the process since resetResident, in bytes.
+func maxResident() (size int64) {
+	status, _ := os.ReadFile("/proc/self/status")
+	for line := range strings.Lines(string(status)) {
+		if kilobytes, found := strings.CutPrefix(line, "VmHWM:"); found {
+			_, _ = fmt.Sscan(kilobytes, &size)
+		}
+	}
+	return size << 10
 }
 
 func megabytes[T int | int64 | uint64](bytes T) float64 { return float64(bytes) / 1e6 }
