e2e, standin: large bodies and chunks in the soak

Cause: the soak sent short bodies with their length alone, so it met neither the memory for bodies nor the closing of connections after chunks.

Change: one call in five has 96 KiB, half of the calls come in chunks, and the entries have 400 KiB for bodies, so that two large ones at once are too many. A call that is refused must not have run, as before.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -79,6 +79,9 @@
 			s.controlAddrsFor[daemon] = s.addForwarders(t, s.controlAddrs)
 		}
 	}
+	for _, entry := range s.entryProcs {
+		entry.args = append(entry.args, soakBodyMemory)
+	}
 	s.startAll(t)
 	s.adminAddrs = append(append(append(s.adminAddrs, s.entryAdminAddrs...), s.agentAdminAddrs...), s.controlAdminAddrs...)
 	s.daemons = append(append(append(s.daemons, s.entryProcs...), s.agentProcs...), s.controlProcs...)
@@ -344,10 +347,22 @@
 	backOffAfterFailure(chat.err, chat.result.Status)
 }
 
+const (
+	// largeBody is the size of a large body in bytes; one in largeBodyShare calls has one. Two of them
+	// at once exceed soakBodyMemory.
+	largeBody      = 96 << 10
+	largeBodyShare = 5
+	soakBodyMemory = "-body-memory=400KiB"
+)
+
 // sendCall sends a call that must run at most once. It repeats the call with the same key, at
 // any entry, while its outcome is unknown.
 func (s *soak) sendCall(c *caller.Caller, rng *rand.Rand, body string) {
 	key := caller.NewKey()
+	if rng.IntN(largeBodyShare) == 0 {
+		body += strings.Repeat("x", largeBody)
+	}
+	c.Chunked = rng.IntN(2) == 0
 	call := observedCall{body: body, refused: true}
 	for range maxCallAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -34,6 +34,8 @@
 	// Model is the model named in model requests.
 	Model  string
 	Client *http.Client
+	// Chunked sends the bodies of service calls in chunks, without their length.
+	Chunked bool
 	// OnFirstByte, if set, is called when the first byte of a response has arrived.
 	OnFirstByte func()
 }
@@ -91,6 +93,9 @@
 	request.Header.Set("Content-Type", "application/json")
 	if key != "" {
 		request.Header.Set(headerKey, key)
+		if c.Chunked {
+			request.ContentLength = -1
+		}
 	}
 	start := time.Now()
 	response, err := c.Client.Do(request)
