entry, docs: a body without room is 429 by the completions API

Callers saw: the status 503 with the type `overloaded`, which docs/CALLERS.md gives 429.

Cause: the new refusal stated its status itself, on both interfaces. The routes answer all refusals for want of capacity with 503; the completions API goes by the type.

Change: the completions API and the services use the type's status.

Measured: TestBodiesExceedMemory expects 429 and failed before. The routes, which the deployments use, are unchanged.

--- a/entry/body.go
+++ b/entry/body.go
@@ -35,7 +35,7 @@
 		return s.errBodyTooLarge()
 	case fault.Is(err, fault.Overloaded):
 		q.finishRefusal = answer.BeforeBody(w, r)
-		return call.RefuseWithStatus(http.StatusServiceUnavailable, fault.From(err))
+		return call.Refuse(fault.From(err))
 	}
 	return call.Refuse(fault.New(fault.Invalid, "not run: the request body is incomplete",
 		"send the whole body, with its Content-Length or in chunks, within the body timeout").WithCause(err))
