e2e, standin: isolate the leader only once the ranks have their orders

To isolate the leader during a switch of maps, the test stops the other control replicas as soon as the switch is recorded. An agent needs a quorum to give its engine the order to load the map. On a busy machine the replicas stop before it has done so; the switch then waits for a quorum, and the group steps on, as it should.

Evidence: in the failed run the agents log "cannot load an expert map ... no_quorum" until the test ends, and no replica leads.

Change: the stand-in engine shows how many orders it holds back, and the test waits until each rank has one. What it expects of the group is as before.

--- a/e2e/group_test.go
+++ b/e2e/group_test.go
@@ -273,11 +273,32 @@
 	leader.run(t)
 }
 
+// awaitHeldMaps waits until the engine of each rank has received the order to load a map. An agent
+// needs a quorum to give it.
+func (g *groupSite) awaitHeldMaps(t *testing.T) {
+	t.Helper()
+	for rank, engine := range g.engineAddrs {
+		eventually(t, fmt.Sprintf("rank %d has the order to load a map", rank), func() error {
+			response, err := http.Get("http://" + engine + "/standin/held-orders")
+			if err != nil {
+				return err
+			}
+			defer func() { _ = response.Body.Close() }()
+			var held int
+			if err := json.NewDecoder(response.Body).Decode(&held); err != nil || held == 0 {
+				return fmt.Errorf("%d orders are held, %v", held, err)
+			}
+			return nil
+		})
+	}
+}
+
 // isolateLeaderBeforeDecision lets all ranks promise a step, but isolates the leader from its
 // quorum so that it cannot decide. It kills the leader once the group has stopped at the
 // promised step.
 func (g *groupSite) isolateLeaderBeforeDecision(t *testing.T) {
 	t.Helper()
+	g.awaitHeldMaps(t)
 	leader := g.leader(t)
 	for i, replica := range g.controlProcs {
 		if i != leader {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -84,6 +84,7 @@
 	e.HandleFunc("GET "+engineapi.PathCacheEvents, e.serveEvents)
 	e.HandleFunc(engineapi.PathOrders, e.orders.serve)
 	e.HandleFunc("POST /standin/faults", e.faults.serve)
+	e.HandleFunc("GET /standin/held-orders", e.orders.serveHeld)
 	e.HandleFunc("GET /standin/arrivals", e.arrivals.serveMax)
 	e.HandleFunc("POST /standin/clear", func(http.ResponseWriter, *http.Request) { e.cache.clear() })
 	return e
--- a/standin/order.go
+++ b/standin/order.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lilackeel/lilackeel/agent/engineapi"
@@ -16,6 +17,9 @@
 	maps        *loadedMaps
 	mapLoadTime time.Duration
 
+	// held is the number of orders that Faults.HoldMaps blocks.
+	held atomic.Int64
+
 	mu            sync.Mutex
 	checksFencing bool
 	state         engineapi.State
@@ -32,6 +36,11 @@
 // adapters returns the loaded adapters, as an empty slice instead of nil if there are none.
 func (o *orderHandler) adapters() []string { return append([]string{}, o.get().Adapters...) }
 
+// serveHeld returns the number of orders that are blocked.
+func (o *orderHandler) serveHeld(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, o.held.Load())
+}
+
 func (o *orderHandler) serve(w http.ResponseWriter, r *http.Request) {
 	if r.Method == http.MethodGet {
 		writeJSON(w, http.StatusOK, o.get())
@@ -44,9 +53,11 @@
 	}
 	if order.Kind == engineapi.OrderLoadMap {
 		time.Sleep(o.mapLoadTime)
+		o.held.Add(1)
 		for o.faults.get().HoldMaps {
 			time.Sleep(stallPollInterval)
 		}
+		o.held.Add(-1)
 	}
 	writeJSON(w, o.execute(order), o.get())
 }
