answer: an early refusal closes HTTP/1.1 connections alone

Cause: a response with Connection: close ends a whole HTTP/2 connection, with all the requests that its callers send on it. Read, not seen.

Change: the header and the mode that goes with it are set for HTTP/1.1. The routes know no other version.

Measured: the tests of early refusals on both interfaces pass.

--- a/answer/early.go
+++ b/answer/early.go
@@ -15,10 +15,11 @@
 // caller may lose the response with it.
 func BeforeBody(w http.ResponseWriter, r *http.Request) (finish func()) {
 	control := http.NewResponseController(w)
-	// Otherwise the server reads some of the body before it sends the response. HTTP/2 needs no such
-	// mode and does not support it.
-	_ = control.EnableFullDuplex()
-	w.Header().Set("Connection", "close")
+	if r.ProtoMajor == 1 {
+		// Otherwise the server reads some of the body before it sends the response.
+		_ = control.EnableFullDuplex()
+		w.Header().Set("Connection", "close")
+	}
 	return func() {
 		if control.Flush() != nil || r.Header.Get("Expect") != "" {
 			return // the caller has left, or waits with its body
