--- a/review/cases-2/main.go
+++ b/review/cases-2/main.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -16,6 +17,9 @@
 	exitNotRun = 2
 )
 
+// errNotRun ends a case that could not run.
+var errNotRun = errors.New("the case could not run")
+
 // caseLimit is the longest run of a case.
 const caseLimit = 110 * time.Second
 
