--- a/review/cases-2/deployment.go
+++ b/review/cases-2/deployment.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -143,6 +144,24 @@
 	d.record.add("killed %s", m.name)
 }
 
+// terminate sends SIGTERM to the process of a machine and waits for its end, for graceS at most.
+func (d *deployment) terminate(m *machine) {
+	d.signal(m, syscall.SIGTERM)
+	select {
+	case <-m.ended:
+		m.process = nil
+		d.record.add("%s has ended", m.name)
+	case <-time.After(8 * time.Second):
+		d.kill(m)
+	}
+}
+
+// signal sends a signal to the process of a machine.
+func (d *deployment) signal(m *machine, s syscall.Signal) {
+	_ = m.process.Process.Signal(s)
+	d.record.add("sent %s to %s", s, m.name)
+}
+
 // loseDisk empties the disk of a machine whose process does not run. Its next start has the field
 // bootstrap false.
 func (d *deployment) loseDisk(m *machine) error {
--- a/review/cases-2/firststart.go
+++ b/review/cases-2/firststart.go
@@ -52,14 +52,7 @@
 	}
 	publishCtx, cancel := context.WithTimeout(ctx, 60*time.Second)
 	defer cancel()
-	acknowledged := publish(publishCtx, d.record, controls, &configuration{
-		Version: 1, Limits: usualLimits,
-		Services: []service{{Name: "app", HealthPath: "/healthz", MaxConnections: 110, Protocol: "h1"}},
-		Routes: []route{{
-			Name: "r", Host: "a.example", PathPrefix: "/p/", Kind: "idempotent", TimeoutMS: 1000, TargetLatencyMS: 150,
-			Service: "app", MaxAttempts: 2,
-		}},
-	})
+	acknowledged := publish(publishCtx, d.record, controls, smallConfiguration(1))
 	d.record.add("the configuration was acknowledged: %t, %.1f s after all machines were back", acknowledged, time.Since(back).Seconds())
 	sleep(ctx, 5*time.Second)
 	return !serveSome(ctx, d, front), ctx.Err()
