--- a/review/cases-2/evicted.go
+++ b/review/cases-2/evicted.go
@@ -19,10 +19,13 @@
 	recovery = 18 * time.Second
 )
 
-// evicted replaces one of three core machines by a new one, as planned work: the new machine first, then the
-// SIGTERM of the old one. With trouble, another core machine stands still for 3 s while the new one starts;
-// the SIGTERM comes only after it has had catchUpS. Later, when all is calm, a configuration is acknowledged
-// and then one core machine loses its disk. At the end the operator reads the configuration back.
+// standsStill is how long a core machine stands still; the site has 4 s.
+const standsStill = 4 * time.Second
+
+// evicted replaces one of three core machines by a new one, as planned work: the new machine first, and the
+// SIGTERM of the old one much later. In between, with trouble, another core machine stands still for some
+// seconds. Later, when all is calm, a configuration is acknowledged and then one core machine loses its disk.
+// At the end the operator reads the configuration back. Never are two machines lost at once.
 func evicted(ctx context.Context, d *deployment, trouble bool) (broken bool, err error) {
 	front, err := d.startSmall(ctx, smallConfiguration(1), func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("done")) })
 	if err != nil {
@@ -31,15 +34,15 @@
 	leaves, loses, stands := d.machines[0], d.machines[1], d.machines[2]
 	added := d.add("control", 5)
 	added.bootstrap = false
-	if trouble {
-		d.signal(stands, syscall.SIGSTOP)
-		sleep(ctx, time.Second)
-	}
 	if err := d.start(added); err != nil {
 		return false, err
 	}
+	sleep(ctx, catchUp)
+	if trouble {
+		d.signal(stands, syscall.SIGSTOP)
+	}
+	sleep(ctx, standsStill)
 	if trouble {
-		sleep(ctx, 2*time.Second)
 		d.signal(stands, syscall.SIGCONT)
 	}
 	sleep(ctx, catchUp)
