--- a/review/cases-2/deployment.go
+++ b/review/cases-2/deployment.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,16 +15,34 @@
 	"time"
 )
 
-// Ports of the deployment, the same on all machines. They lie below the ports that the system gives to
-// outgoing connections.
-const (
-	controlPort  = 18229
-	frontPort    = 18227
-	readyPort    = 18220
-	internalPort = 17340
-	adminPort    = 17341
-	serverPort   = 18120
-)
+// The ports of the deployment, the same on all machines, as on the platform. They are chosen by choosePorts.
+var controlPort, frontPort, readyPort, internalPort, adminPort, serverPort int
+
+// The ports are chosen below those that the system gives to outgoing connections.
+const firstPort, lastPort = 20000, 29999
+
+// choosePorts chooses ports that no process listens on, at any address.
+func choosePorts() error {
+	taken := map[int]bool{}
+	for _, port := range []*int{&controlPort, &frontPort, &readyPort, &internalPort, &adminPort, &serverPort} {
+		for range 1000 {
+			candidate := firstPort + rand.IntN(lastPort-firstPort+1)
+			listener, err := net.Listen("tcp4", ":"+strconv.Itoa(candidate))
+			if err != nil {
+				continue
+			}
+			_ = listener.Close()
+			if !taken[candidate] {
+				taken[candidate], *port = true, candidate
+				break
+			}
+		}
+		if *port == 0 {
+			return errNotRun
+		}
+	}
+	return nil
+}
 
 // program is the program that plays each role of the deploy file.
 const program = "target/lilackeel-platform"
@@ -49,6 +69,9 @@
 // newDeployment returns a deployment without machines. Its addresses are 127.X.Y.*, where X and Y are
 // derived from the process id, so that two cases do not meet.
 func newDeployment(r *record) (*deployment, error) {
+	if err := choosePorts(); err != nil {
+		return nil, err
+	}
 	folder, err := os.MkdirTemp("", "lilackeel-case-")
 	if err != nil {
 		return nil, err
