replica/server: log the membership in force at each replica

A replica that takes itself for a member could not be told in the logs from one that had been told of its removal and ignored it: memberships were not logged.

Change: each replica logs the voters and learners that it takes for the cluster, and whether its own disk is among them.

--- a/replica/server/loop.go
+++ b/replica/server/loop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	pb "github.com/lilackeel/lilackeel/api/replica/v1"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/replica"
 	"github.com/lilackeel/lilackeel/wal"
@@ -104,6 +105,9 @@
 		return
 	}
 	s.peersMembership = membership
+	if membership != nil {
+		s.logMembership(membership)
+	}
 	peers := map[uint64]string{}
 	if id, addr := s.node.DiscoveredLeader(); id != 0 {
 		peers[id] = addr
@@ -118,6 +122,21 @@
 	s.transport.SetPeers(peers)
 }
 
+// logMembership logs the membership in force as this replica knows it.
+func (s *Server) logMembership(membership *pb.Membership) {
+	var voters, learners []uint64
+	for _, member := range membership.GetMembers() {
+		if member.GetRole() == pb.Role_ROLE_VOTER {
+			voters = append(voters, member.GetId())
+		} else {
+			learners = append(learners, member.GetId())
+		}
+	}
+	self := replica.FindMember(membership, s.cfg.ID)
+	s.log.Info("membership changed", "voters", voters, "learners", learners,
+		"member", self.GetDisk() == s.node.Disk().GetIdentity())
+}
+
 // logAdmission logs once that this replica may vote and acknowledge.
 func (s *Server) logAdmission() {
 	if s.admissionLogged || !s.node.Admitted() {
--- a/replica/status.go
+++ b/replica/status.go
@@ -89,5 +89,8 @@
 	return n.leader, n.term, n.role == Leader
 }
 
+// Disk returns the label of the data directory, which must not be modified.
+func (n *Node) Disk() *pb.DiskLabel { return n.cfg.Disk }
+
 // Membership returns the membership in force, which must not be modified.
 func (n *Node) Membership() *pb.Membership { return n.members.current() }
