replica: a removed replica learns of its removal and joins again

Callers of the control API saw 503 without end: a voter that stood still for 4 s lost its place to a standby, never learned it, and stayed outside; a later planned removal and one lost disk then left no quorum.

Cause: the leader sends entries to members only, and a refusal was sent only in answer to a registration, which a replica sends at its start. Its later messages were dropped unanswered, because the record of its disk goes with the membership. A deposed leader with a longer log ignored even the refusal.

Change: a replica that has heard from no leader for two election timeouts registers again, with all replicas of its membership and settings. The membership lists the replicas that were removed last; the leader notifies them every ten election timeouts until they have joined again. A refusal ends the replica if its log lacks the entry it names, whatever the log's length. Answers go to the address in the message, as no setting may name the sender. Each fact is stated until it is acknowledged, so the order of the faults does not matter.

--- a/replica/admission.go
+++ b/replica/admission.go
@@ -45,6 +45,8 @@
 		n.handleRegister(m)
 	case pb.MessageKind_MESSAGE_KIND_REGISTER_RESPONSE:
 		n.handleRegisterResponse(m)
+	case pb.MessageKind_MESSAGE_KIND_REMOVED:
+		n.handleRemoved(m)
 	case pb.MessageKind_MESSAGE_KIND_REGISTER_NEEDED:
 		delete(n.admission.agreed, m.GetFrom())
 		n.sendRegister(m.GetFrom())
@@ -69,6 +71,10 @@
 	if n.self() == nil || n.learnerWithoutLeader() {
 		n.sendJoins()
 	}
+	if n.self() != nil && n.withoutLeader() {
+		n.askForMembership()
+		return
+	}
 	if n.namedInMembership() {
 		return
 	}
@@ -83,7 +89,7 @@
 // from a leader for admissionTimeouts election timeouts. The entry that added it may
 // have been overwritten, so it must send join again.
 func (n *Node) learnerWithoutLeader() bool {
-	return !isVoter(n.self()) && n.now-n.lastLeaderContact >= admissionTimeouts*n.cfg.ElectionTimeout
+	return !isVoter(n.self()) && n.withoutLeader()
 }
 
 // namedInMembership reports whether the membership names this start of the replica,
@@ -99,7 +105,7 @@
 	}
 	last := n.log.last()
 	n.send(&pb.Message{
-		Kind: pb.MessageKind_MESSAGE_KIND_REGISTER, To: to, LogIndex: last.index, LogTerm: last.term,
+		Kind: pb.MessageKind_MESSAGE_KIND_REGISTER, To: to, LogIndex: last.index, LogTerm: last.term, Addr: n.cfg.Addr,
 	})
 }
 
@@ -150,26 +156,25 @@
 	return (waited || pending == 0) && count >= quorum(n.members.current())
 }
 
+// rejoinRemedy is the remedy of the errors that fence a replica.
+const rejoinRemedy = "set the data directory aside and start with an empty one: the replica rejoins as a learner and is promoted once caught up"
+
 // handleRefusal fences this replica if the refusal is final.
 func (n *Node) handleRefusal(m *pb.Message) {
-	const remedy = "set the data directory aside and start with an empty one: the replica rejoins as a learner and is promoted once caught up"
 	id, label := n.cfg.ID, n.cfg.Disk
 	switch m.GetRefusal() {
 	case pb.Refusal_REFUSAL_SUPERSEDED:
-		n.fence(fault.Newf(fault.Fenced, remedy,
+		n.fence(fault.Newf(fault.Fenced, rejoinRemedy,
 			"replica %d: disk %016x was started again elsewhere after incarnation %d", id, label.GetIdentity(), label.GetIncarnation()))
 	case pb.Refusal_REFUSAL_LOST_STATE:
-		n.fence(fault.Newf(fault.Fenced, remedy,
+		n.fence(fault.Newf(fault.Fenced, rejoinRemedy,
 			"replica %d: disk %016x is an old copy or has lost acknowledged state, according to replica %d", id, label.GetIdentity(), m.GetFrom()))
 	case pb.Refusal_REFUSAL_NOT_MEMBER:
 		if !isVoter(n.self()) {
 			n.sendJoin(m.GetFrom())
 			return
 		}
-		if m.GetLogIndex() > n.log.last().index {
-			n.fence(fault.Newf(fault.Fenced, remedy,
-				"replica %d: disk %016x has not been a member since entry %d", id, label.GetIdentity(), m.GetLogIndex()))
-		}
+		n.fenceRemoved(m.GetLogIndex())
 	}
 }
 
--- a/replica/change.go
+++ b/replica/change.go
@@ -68,7 +68,7 @@
 	case Promote:
 		return n.withPromotion(member)
 	case Remove:
-		return withoutMember(current, change.ID), nil
+		return withRemoval(current, change.ID), nil
 	}
 	return nil, fault.Newf(fault.Invalid, "use add-learner, add-voter, promote or remove", "unknown membership change %q", change.Kind)
 }
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -77,4 +77,19 @@
 // no disk yet or has been unresponsive for RepairAfter. A learner that replaces
 // a voter is promoted when it has caught up. With Config.Voters the leader also
 // adds unknown replicas. All other changes are up to the operator.
+//
+// # Removed replicas
+//
+// A replica may be replaced while it does not run or hears nothing, and it never
+// receives the entry that removes it. It finds out in one of two ways. A replica
+// that has not heard from a leader for two election timeouts sends register to all
+// replicas it knows, again and again; each member refuses a disk that its committed
+// membership does not name. And the membership lists the replicas that were removed
+// last, with their addresses; the leader notifies them until they have joined again,
+// in case none of the replicas that they know runs any more.
+//
+// Either message fences the replica if its log lacks the membership entry that the
+// message refers to. The length of its log does not matter: a deposed leader may
+// have appended more than its successors. With Config.Voters the fenced replica
+// starts over with a blank disk and joins.
 package replica
--- a/replica/election.go
+++ b/replica/election.go
@@ -188,7 +188,7 @@
 	n.setLeader(n.cfg.ID)
 	n.progress = map[uint64]*progress{}
 	n.updateProgress()
-	n.nextHeartbeat = n.now
+	n.nextHeartbeat, n.nextNotice = n.now, n.now
 	n.propose(&pb.Entry{Kind: pb.EntryKind_ENTRY_KIND_NOOP})
 	n.tickLeader()
 }
@@ -209,6 +209,7 @@
 	// postpone it indefinitely.
 	n.promoteCaughtUp()
 	n.replaceUnresponsiveVoter()
+	n.notifyRemoved()
 }
 
 // activeVoters counts the voters of membership that responded within the last
--- a/replica/join.go
+++ b/replica/join.go
@@ -29,17 +29,27 @@
 // sendJoins sends join to all replicas that may belong to a cluster or may
 // bootstrap one.
 func (n *Node) sendJoins() {
-	targets := maps.Clone(n.cfg.Peers)
-	if targets == nil {
-		targets = map[uint64]string{}
+	for _, id := range n.knownReplicas() {
+		n.sendJoin(id)
+	}
+	n.tryBootstrap()
+}
+
+// knownReplicas returns the ids of the replicas of the settings, of the members and
+// of the leader that this replica has heard from, sorted.
+func (n *Node) knownReplicas() []uint64 {
+	known := map[uint64]bool{}
+	for id := range n.cfg.Peers {
+		known[id] = true
 	}
 	for _, member := range n.members.current().GetMembers() {
-		targets[member.GetId()] = member.GetAddr()
+		known[member.GetId()] = true
 	}
-	for _, id := range slices.Sorted(maps.Keys(targets)) {
-		n.sendJoin(id)
+	if n.discovered.id != 0 {
+		known[n.discovered.id] = true
 	}
-	n.tryBootstrap()
+	delete(known, n.cfg.ID)
+	return slices.Sorted(maps.Keys(known))
 }
 
 func (n *Node) sendJoin(to uint64) {
@@ -235,10 +245,14 @@
 // leader after 0.6 s but was still not a voter 8 s later.
 func (n *Node) recordLeaderAddr(m *pb.Message) {
 	if n.members.current() == nil && fromLeader(m.GetKind()) && m.GetAddr() != "" {
-		n.discovered = discoveredLeader{id: m.GetFrom(), addr: m.GetAddr()}
+		n.setDiscoveredLeader(m)
 	}
 }
 
-// DiscoveredLeader returns the id and address of the leader that sent messages to
-// this disk before the disk knew any membership, or zero values if there was none.
-func (n *Node) DiscoveredLeader() (id uint64, addr string) { return n.discovered.id, n.discovered.addr }
+func (n *Node) setDiscoveredLeader(m *pb.Message) {
+	found := discoveredLeader{id: m.GetFrom(), addr: m.GetAddr()}
+	if found != n.discovered {
+		n.discovered = found
+		n.peersVersion++
+	}
+}
--- a/replica/membership.go
+++ b/replica/membership.go
@@ -90,6 +90,7 @@
 func withMember(membership *pb.Membership, member *pb.Member) *pb.Membership {
 	changed := withoutMember(membership, member.GetId())
 	changed.Members = append(changed.Members, member)
+	changed.Removed = withoutReplica(changed.GetRemoved(), member.GetId())
 	slices.SortFunc(changed.Members, func(a, b *pb.Member) int {
 		return cmp.Compare(a.GetId(), b.GetId())
 	})
--- a/replica/node.go
+++ b/replica/node.go
@@ -33,6 +33,8 @@
 	// discovered is the leader that sent messages to this disk before the disk knew
 	// any membership.
 	discovered       discoveredLeader
+	contacts         map[uint64]contact
+	peersVersion     uint64
 	snapshot         *pb.Snapshot
 	receivedSnapshot *pb.Snapshot // received from the leader, not yet persisted
 	witnesses        map[uint64]*pb.Witness
@@ -47,6 +49,7 @@
 
 	progress      map[uint64]*progress
 	nextHeartbeat time.Duration
+	nextNotice    time.Duration
 	transfer      transfer
 	reads         readQueue
 
@@ -62,7 +65,7 @@
 	if err := cfg.check(); err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, now: now, role: Follower, witnesses: map[uint64]*pb.Witness{}}
+	n := &Node{cfg: cfg, now: now, role: Follower, witnesses: map[uint64]*pb.Witness{}, contacts: map[uint64]contact{}}
 	n.lastLeaderContact = now - cfg.ElectionTimeout
 	n.reads.next = cfg.Boot
 	n.reads.forwarded = map[uint64]bool{}
@@ -190,6 +193,7 @@
 		return
 	}
 	n.tickRegistration()
+	n.dropExpiredContacts()
 	switch {
 	case n.role == Leader:
 		n.tickLeader()
@@ -251,6 +255,7 @@
 
 // membershipChanged updates the state that depends on the membership.
 func (n *Node) membershipChanged() {
+	n.peersVersion++
 	for _, member := range n.members.current().GetMembers() {
 		n.ensureWitness(member)
 	}
--- a/replica/replacement.go
+++ b/replica/replacement.go
@@ -24,7 +24,7 @@
 	switch unresponsive := n.unresponsiveVoter(); {
 	case plannedVoters(current) < n.cfg.Voters:
 	case unresponsive != nil:
-		changed = withoutMember(current, unresponsive.GetId())
+		changed = withRemoval(current, unresponsive.GetId())
 	case len(current.GetMembers())-plannedVoters(current) < n.cfg.Voters:
 		learner.Promote = false
 	default:
@@ -79,7 +79,7 @@
 			Id: member.GetId(), Addr: member.GetAddr(), Disk: member.GetDisk(), Incarnation: member.GetIncarnation(),
 			Boot: member.GetBoot(), Role: pb.Role_ROLE_LEARNER, Promote: true,
 		}
-		_, _, _ = n.proposeMembership(withMember(withoutMember(current, unresponsive.GetId()), chosen))
+		_, _, _ = n.proposeMembership(withMember(withRemoval(current, unresponsive.GetId()), chosen))
 		return
 	}
 }
--- a/replica/replicate.go
+++ b/replica/replicate.go
@@ -61,6 +61,7 @@
 	}
 	n.log.truncate(index)
 	n.members = n.members.truncate(index)
+	n.peersVersion++
 	return true
 }
 
--- a/replica/server/loop.go
+++ b/replica/server/loop.go
@@ -100,26 +100,15 @@
 
 // updatePeers passes the addresses of the other replicas to the transport.
 func (s *Server) updatePeers() {
-	membership := s.node.Membership()
-	if membership == s.peersMembership && membership != nil {
-		return
-	}
-	s.peersMembership = membership
-	if membership != nil {
+	if membership := s.node.Membership(); membership != s.loggedMembership {
+		s.loggedMembership = membership
 		s.logMembership(membership)
 	}
-	peers := map[uint64]string{}
-	if id, addr := s.node.DiscoveredLeader(); id != 0 {
-		peers[id] = addr
-	}
-	for id, addr := range s.cfg.Peers {
-		peers[id] = addr
-	}
-	for _, member := range membership.GetMembers() {
-		peers[member.GetId()] = member.GetAddr()
+	if version := s.node.PeersVersion() + 1; version != s.peersVersion {
+		s.peersVersion = version
+		s.peers = s.node.Peers()
+		s.transport.SetPeers(s.peers)
 	}
-	delete(peers, s.cfg.ID)
-	s.transport.SetPeers(peers)
 }
 
 // logMembership logs the membership in force as this replica knows it.
@@ -176,10 +165,10 @@
 }
 
 func (s *Server) addressOf(id uint64) string {
-	if member := replica.FindMember(s.node.Membership(), id); member != nil {
-		return member.GetAddr()
+	if id == s.cfg.ID {
+		return s.cfg.Addr
 	}
-	return s.cfg.Peers[id]
+	return s.peers[id]
 }
 
 // shutDown stops all parts of the server and fails pending requests. It does not
--- a/replica/server/server.go
+++ b/replica/server/server.go
@@ -131,7 +131,9 @@
 	proposals        chan *proposal
 	loopCalls        chan func()
 	reads            map[uint64]chan replica.ReadState // owned by the loop
-	peersMembership  *pb.Membership                    // source of the transport's peers; owned by the loop
+	loggedMembership *pb.Membership                    // last membership logged; owned by the loop
+	peers            map[uint64]string                 // addresses of the other replicas; owned by the loop
+	peersVersion     uint64                            // version of peers, plus one; owned by the loop
 	reportedCounters replica.Counters                  // already added to the metrics; owned by the loop
 	countedLeader    leaderInfo                        // last leader and term counted as a change; owned by the loop
 	admissionLogged  bool                              // whether the admission was logged; owned by the loop
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -225,16 +225,14 @@
 }
 
 // canAddress reports whether the host knows the address of a message's recipient. A
-// message of a host with a blank disk that names a cluster is a join message
-// forwarded by another host, which needs no address from this one.
+// join message that names a cluster which its sender does not know is forwarded by
+// another host, which needs no address from this one.
 func (h *host) canAddress(m *pb.Message) bool {
-	if h == nil || h.peers == nil || h.node == nil {
+	forwarded := m.GetKind() == pb.MessageKind_MESSAGE_KIND_JOIN && m.GetCluster() != 0
+	if h == nil || h.node == nil || forwarded {
 		return true
 	}
-	membership := h.node.Membership()
-	leader, _ := h.node.DiscoveredLeader()
-	forwarded := membership == nil && m.GetCluster() != 0
-	return forwarded || h.peers[m.GetTo()] != "" || leader == m.GetTo() || FindMember(membership, m.GetTo()) != nil
+	return h.node.Peers()[m.GetTo()] != ""
 }
 
 // start starts the host's node on its disk, with the next incarnation.
--- a/replica/witness.go
+++ b/replica/witness.go
@@ -92,6 +92,7 @@
 	}
 	member := FindMember(n.members.current(), m.GetFrom())
 	if member.GetDisk() != m.GetDisk() {
+		n.addContact(m.GetFrom(), m.GetAddr())
 		n.refuseNonMember(m)
 		return
 	}
