replica: a learner can acknowledge to a leader that its log does not name

A replica with a new disk stayed a learner for as long as one leader led, so that the next lost voter had no replacement.

Cause: a replica took the address of its leader from its settings, its log, or messages that came before its first entry. If the leader had been added after the entries that the learner had so far, its acknowledgements had no address, and a leader sends nothing more to a member that does not answer. Found by a variant of the test of removed replicas, traced by the states of all replicas every 0.5 s: the learner follows the leader, whose progress shows it as never having answered.

Change: the address of the last leader is recorded from its messages at any time.

Before: TestLearnerAcknowledgesLeaderThatItsLogDoesNotName failed ("not within 2s: the wiped replica is a voter"). After: it passes.

--- a/replica/join.go
+++ b/replica/join.go
@@ -231,20 +231,20 @@
 	_, _, _ = n.proposeMembership(withMember(n.members.current(), replacement))
 }
 
-// discoveredLeader is a leader that is known only from its messages, not from a
-// membership.
+// discoveredLeader is the leader that sent messages to this replica last. The
+// membership may not name it.
 type discoveredLeader struct {
 	id   uint64
 	addr string
 }
 
 // recordLeaderAddr records the address of the leader of the current term from a
-// message that it sent to a blank disk. It may be that neither the settings nor the
-// log of this replica name the leader, and the leader sends no log entries to a disk
-// that does not answer. With forwardJoin alone a disk received messages from its
-// leader after 0.6 s but was still not a voter 8 s later.
+// message that it sent. It may be that neither the settings nor the log of this
+// replica name the leader: the disk is blank, or the entry that added the leader has
+// not arrived yet. Without the address the replica could not acknowledge anything, and
+// a leader sends no more entries to a member that does not answer.
 func (n *Node) recordLeaderAddr(m *pb.Message) {
-	if n.members.current() == nil && fromLeader(m.GetKind()) && m.GetAddr() != "" {
+	if fromLeader(m.GetKind()) && m.GetAddr() != "" {
 		n.setDiscoveredLeader(m)
 	}
 }
--- a/replica/node.go
+++ b/replica/node.go
@@ -30,8 +30,7 @@
 	log    entryLog
 
 	members membershipHistory
-	// discovered is the leader that sent messages to this disk before the disk knew
-	// any membership.
+	// discovered is the last leader that sent messages to this replica.
 	discovered       discoveredLeader
 	contacts         map[uint64]contact
 	peersVersion     uint64
--- a/replica/removal_test.go
+++ b/replica/removal_test.go
@@ -198,6 +198,37 @@
 	s.checkHistory()
 }
 
+// The leader may have been added after the entries that a learner has received so far.
+// The learner must be able to acknowledge to it all the same; otherwise it gets no
+// further entries for as long as this leader leads.
+func TestLearnerAcknowledgesLeaderThatItsLogDoesNotName(t *testing.T) {
+	is := is.New(t)
+	s := startManaged(t, 7, 5, 1)
+	wiped, lost := s.others(s.leader())[0], s.others(s.leader())[1]
+	s.intercept = func(m *pb.Message) bool { // it gets the first entries only
+		return m.To == wiped.id && len(m.Entries) > 0 && m.LogIndex > 0
+	}
+	wiped.kill()
+	s.run(8 * simElection)
+	wiped.join = true
+	wiped.peers = map[uint64]string{s.leader().id: "the leader"}
+	wiped.replace(s.blankDisk())
+	lost.kill()
+	s.until(60*simElection, "the promotion of the standby", func() bool { return s.role(6) == pb.Role_ROLE_VOTER })
+	is.True(wiped.node.Membership() != nil && FindMember(wiped.node.Membership(), 6) == nil)
+	s.until(20*simElection, "the new voter leads", func() bool {
+		if leader := s.leader(); leader != nil && leader.id != 6 {
+			_ = leader.node.TransferLeader(6)
+			leader.processReady()
+		}
+		return s.leader() == s.hosts[6]
+	})
+	s.intercept = nil
+	s.until(20*simElection, "the wiped replica is a voter", func() bool { return s.role(wiped.id) == pb.Role_ROLE_VOTER })
+	s.commit(s.leader)
+	s.checkHistory()
+}
+
 // After faults, each replica that runs is a member and a change is confirmed, for any
 // number of voters: no replica waits outside for good, and none waits for another
 // that waits for it.
