replica: a join reaches the leader through any replica that knows it

A replica that joined through one that had no place in the cluster found no leader and waited without end; so did a learner with an out-of-date membership whose join reached followers only.

Cause: the leader did not answer a join for which it had no place, a replica with a blank disk did not pass joins on, and a join that names a cluster was taken for one that had been passed on already.

Change: the leader answers such a join with a heartbeat, from which the replica learns its address; a blank replica that knows a leader passes joins on; a forwarded message is marked as such.

Before: TestJoinReachesLeaderThroughReplicaWithoutPlace failed ("the leader is known"), and the new lines of TestJoinIsForwardedOnce. Without the answer, the address or the forwarding, one at a time, a test fails.

--- a/replica/join.go
+++ b/replica/join.go
@@ -70,6 +70,7 @@
 	if n.members.current() == nil {
 		n.recordBlankVoter(m)
 		n.tryBootstrap()
+		n.forwardJoin(m)
 		return
 	}
 	n.recordLostDisk(m)
@@ -89,16 +90,18 @@
 // would leave no quorum. With forwarding, the disk is a voter again within 20
 // election timeouts on the simulated network.
 //
-// A join message that names a cluster comes from a replica that knows the members,
-// or has been forwarded already. It is not forwarded, so that two followers that
-// take each other for the leader do not send it back and forth.
+// It is forwarded once, so that two followers that take each other for the leader do
+// not send it back and forth.
 func (n *Node) forwardJoin(m *pb.Message) {
-	if m.GetCluster() != 0 || n.leader == 0 || n.leader == m.GetFrom() {
+	if m.GetForwarded() || n.leader == 0 || n.leader == m.GetFrom() {
 		return
 	}
 	forwarded := proto.CloneOf(m)
 	forwarded.To = n.leader
-	forwarded.Cluster = n.cluster()
+	forwarded.Forwarded = true
+	if forwarded.Cluster == 0 {
+		forwarded.Cluster = n.cluster() // earlier versions take it for the mark of a forwarded message
+	}
 	n.messages = append(n.messages, forwarded)
 }
 
@@ -211,6 +214,7 @@
 func (n *Node) assignBlankDisk(m *pb.Message) {
 	member := FindMember(n.members.current(), m.GetFrom())
 	if member == nil {
+		n.addContact(m.GetFrom(), m.GetAddr())
 		n.addUnknownReplica(m)
 		return
 	}
--- a/replica/removal_test.go
+++ b/replica/removal_test.go
@@ -68,6 +68,18 @@
 	})
 }
 
+// restartWithPeers restarts hosts with settings that name only these hosts.
+func (s *sim) restartWithPeers(hosts []*host) {
+	peers := map[uint64]string{}
+	for _, h := range hosts {
+		peers[h.id] = fmt.Sprint("host-", h.id)
+	}
+	for _, h := range hosts {
+		h.peers = peers
+		h.start()
+	}
+}
+
 // A voter that is frozen or cut off while a standby takes its place misses the entry
 // that removes it. It must find that out by itself; otherwise it stays outside for
 // good, and the next lost voter has no standby.
@@ -75,7 +87,7 @@
 	proof.Cell{Promise: proof.DurableConfiguration, Faults: []proof.Fault{proof.Freeze, proof.FullPartition, proof.SecondLoss}, Step: "a voter replaced by a standby while it does not run", Combined: true,
 		Guard: "a replica without a leader asks the others whether it is a member"}.Log(t)
 	for _, size := range []int{3, 5} {
-		for _, how := range []string{"frozen", "cut off"} {
+		for _, how := range []string{"frozen", "cut off", "cut off and unknown to the settings of the others"} {
 			t.Run(fmt.Sprint(size, " voters, ", how), func(t *testing.T) {
 				s := startManaged(t, 7, size, 1)
 				s.intercept = func(m *pb.Message) bool { return m.Kind == pb.MessageKind_MESSAGE_KIND_REMOVED } // it has to ask
@@ -88,6 +100,10 @@
 				}
 				s.until(40*simElection, "the promotion of the standby", func() bool { return s.role(standby.id) == pb.Role_ROLE_VOTER })
 				s.commit(s.leader)
+				if how == "cut off and unknown to the settings of the others" {
+					s.restartWithPeers(s.others(removed))
+					s.commit(s.leader)
+				}
 				s.heal()
 				removed.resume()
 				s.untilMember(removed)
@@ -229,6 +245,26 @@
 	s.checkHistory()
 }
 
+// A replica that joins while the cluster has a place for it must find the leader, even
+// if its settings name only a replica that the cluster had no place for.
+func TestJoinReachesLeaderThroughReplicaWithoutPlace(t *testing.T) {
+	is := is.New(t)
+	s := startManaged(t, 7, 3, 3)
+	surplus := s.add(7, true)
+	s.run(20 * simElection)
+	is.True(!s.isMember(surplus))
+	added := &host{sim: s, id: 8, join: true, disk: s.blankDisk(), peers: map[uint64]string{surplus.id: "host-7"}}
+	s.hosts[8] = added
+	added.start()
+	s.scheduleTick(added)
+	s.until(10*simElection, "the leader is known", func() bool { return added.node.leader == s.leader().id })
+	surplus.kill()
+	s.others(s.leader())[0].kill()
+	s.untilMember(added)
+	s.commit(s.leader)
+	s.checkHistory()
+}
+
 // After faults, each replica that runs is a member and a change is confirmed, for any
 // number of voters: no replica waits outside for good, and none waits for another
 // that waits for it.
--- a/replica/replacement.go
+++ b/replica/replacement.go
@@ -28,6 +28,7 @@
 	case len(current.GetMembers())-plannedVoters(current) < n.cfg.Voters:
 		learner.Promote = false
 	default:
+		n.introduce(m)
 		return
 	}
 	// This is refused while another change is in progress; the replica sends join
@@ -35,6 +36,12 @@
 	_, _, _ = n.proposeMembership(withMember(changed, learner))
 }
 
+// introduce sends a heartbeat to a replica that is not a member, so that it learns
+// the address of the leader, and can pass on the join messages of others.
+func (n *Node) introduce(m *pb.Message) {
+	n.send(&pb.Message{Kind: pb.MessageKind_MESSAGE_KIND_HEARTBEAT, To: m.GetFrom(), ToDisk: m.GetDisk()})
+}
+
 // plannedVoters counts the voters and the learners that are to be promoted.
 func plannedVoters(membership *pb.Membership) int {
 	count := 0
--- a/replica/replacement_test.go
+++ b/replica/replacement_test.go
@@ -129,4 +129,8 @@
 	follower.messages = nil
 	follower.handleJoin(forwarded)
 	is.Equal(len(follower.messages), 0)
+	join.Cluster = follower.cluster() // from a learner whose membership is out of date
+	follower.handleJoin(join)
+	is.Equal(len(follower.messages), 1)
+	is.Equal(follower.messages[0].GetTo(), leader.id)
 }
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -225,11 +225,9 @@
 }
 
 // canAddress reports whether the host knows the address of a message's recipient. A
-// join message that names a cluster which its sender does not know is forwarded by
-// another host, which needs no address from this one.
+// forwarded join message is sent by another host, which needs no address from this one.
 func (h *host) canAddress(m *pb.Message) bool {
-	forwarded := m.GetKind() == pb.MessageKind_MESSAGE_KIND_JOIN && m.GetCluster() != 0
-	if h == nil || h.node == nil || forwarded {
+	if h == nil || h.node == nil || m.GetForwarded() {
 		return true
 	}
 	return h.node.Peers()[m.GetTo()] != ""
