control: keep a withdrawal that arrives before the endpoint's first heartbeat

An endpoint that had withdrawn, with confirmation, got 50 to 70 requests later than 2 s after it.

Cause: a withdrawal names only the endpoint, and the leader completed it from its record. Without a record it was handled as a renewal, which changes nothing, and was answered with 200. The late heartbeat then announced a new endpoint that serves.

Evidence: in a test of the leader alone the log has no new entry after the withdrawal. Ruled out with that: a heartbeat that undoes a recorded withdrawal (a guard with a test of its own), and entries that are not told.

Change: such a withdrawal is a command of the log.

The withdrawal of an endpoint that an agent announces, which was confirmed without effect as well, is refused.

--- a/contract/agent.go
+++ b/contract/agent.go
@@ -76,6 +76,9 @@
 		s.releaseFromPreviousAgent(id, pending.agent.name)
 		s.endpoints[id] = entry
 		refs = append(refs, objectRef{endpointKind, id})
+		if announcedItself(entry.announced) {
+			s.withdrawals.bind(AgentRef{id, entry.announced.GetIncarnation()})
+		}
 	}
 	for _, id := range pending.removals {
 		s.removeEndpoint(id)
@@ -200,6 +203,9 @@
 	if hasAnnouncedLeaving(entry, announced) {
 		announced.State = entry.announced.GetState()
 	}
+	if announcedItself(announced) && s.withdrawals.includes(AgentRef{id, announced.GetIncarnation()}) {
+		announced.State = max(announced.State, fleetv1.EndpointState_ENDPOINT_STATE_LEAVING)
+	}
 	holder := entry.announced.GetAgent()
 	if entry.live && holder != pending.agent.name {
 		pending.refused = append(pending.refused, fault.Newf(fault.Conflict,
--- a/contract/snapshot.go
+++ b/contract/snapshot.go
@@ -95,7 +95,7 @@
 		LogTimeNs: s.logTime, Revision: s.revision, Fence: s.fence,
 		Intents:    s.intents.copies(),
 		Tombstones: s.tombstones.order, TombstoneFloor: s.tombstones.floor,
-		Site: s.site.message(),
+		Site: s.site.message(), Withdrawals: s.withdrawals.messages(),
 	}
 	for _, name := range sortedKeys(s.workspaces) {
 		entry := s.workspaces[name]
@@ -173,6 +173,9 @@
 	for _, record := range message.GetZones() {
 		s.zones[record.GetZone()] = zoneEntry{evacuated: record.GetEvacuated(), revision: record.GetRevision(), intent: record.GetIntentId()}
 	}
+	for _, ref := range message.GetWithdrawals() {
+		s.withdrawals.add(AgentRef{ref.GetAgent(), ref.GetIncarnation()})
+	}
 	s.site = newSiteEntry(message.GetSite())
 	s.loadEndpoints(message)
 	s.loadIntents(message)
--- a/contract/state.go
+++ b/contract/state.go
@@ -34,6 +34,7 @@
 
 	// maxExpiredEndpoints is the limit in use; tests set a smaller one than the constant.
 	maxExpiredEndpoints int
+	withdrawals         withdrawalTable
 
 	// keyOwners maps each key digest to the name of its workspace.
 	keyOwners map[string]string
@@ -49,6 +50,7 @@
 // NewState returns an empty state at revision zero.
 func NewState() *State {
 	s := &State{claims: claimTable{claimBounds: defaultClaimBounds}, maxExpiredEndpoints: maxExpiredEndpoints}
+	s.withdrawals.limit = maxWithdrawals
 	s.reset()
 	return s
 }
@@ -70,6 +72,7 @@
 	s.intents = newIntentTable()
 	s.claims = newClaimTable(s.claims.claimBounds)
 	s.tombstones = newTombstoneTable()
+	s.withdrawals = newWithdrawalTable(s.withdrawals.limit)
 	s.changes = changeRing{}
 	s.cache.clear()
 }
@@ -133,6 +136,8 @@
 		return s.applyPublish(kind.Publish)
 	case *contractv1.Command_EvacuateZone:
 		return s.applyEvacuateZone(kind.EvacuateZone)
+	case *contractv1.Command_Withdraw:
+		return s.applyWithdraw(kind.Withdraw)
 	}
 	return &Result{Err: fault.New(fault.Internal, "the log has a command that this version does not support",
 		"upgrade all control replicas before using new features")}
--- a/control/announce.go
+++ b/control/announce.go
@@ -7,13 +7,21 @@
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/contract"
+	"github.com/lilackeel/lilackeel/fault"
 )
 
 // announce handles one announcement. Only announcements that change the state go through the
 // log; renewing a lease updates the leader's memory only. Concurrent announcements that change
 // the state share one sync of the log.
 func (l *leadership) announce(ctx context.Context, request *controlv1.AnnounceRequest) (*controlv1.AnnounceResponse, error) {
-	request = l.completeWithdrawal(request)
+	if isWithdrawal(request) {
+		return l.withdraw(ctx, request)
+	}
+	return l.handleAnnouncement(ctx, request)
+}
+
+// handleAnnouncement handles an announcement other than a withdrawal.
+func (l *leadership) handleAnnouncement(ctx context.Context, request *controlv1.AnnounceRequest) (*controlv1.AnnounceResponse, error) {
 	ref := contract.AgentRef{Name: request.GetAgent(), Incarnation: request.GetIncarnation()}
 	if l.outOfOrder(ref, request.GetSeq()) {
 		return l.announceResponse(true), nil
@@ -44,25 +52,44 @@
 	}
 }
 
-// completeWithdrawal fills in the last announcement of an endpoint that announces itself, which
-// states only that the endpoint is leaving.
-func (l *leadership) completeWithdrawal(request *controlv1.AnnounceRequest) *controlv1.AnnounceRequest {
-	if request.GetFull() || !request.GetStopping() || request.GetAddr() != "" {
-		return request
-	}
+// isWithdrawal reports whether a request is the last announcement of an endpoint that announces
+// itself, which states only that the endpoint is leaving.
+func isWithdrawal(request *controlv1.AnnounceRequest) bool {
+	return request.GetStopping() && !request.GetFull() && request.GetAddr() == ""
+}
+
+// withdraw handles a withdrawal. It is recorded before it is confirmed, also if no announcement
+// of the endpoint has arrived yet: one may still be under way.
+func (l *leadership) withdraw(ctx context.Context, request *controlv1.AnnounceRequest) (*controlv1.AnnounceResponse, error) {
 	known := l.state.Endpoint(request.GetAgent())
-	if known == nil || known.GetAgent() != request.GetAgent() {
-		return request
+	switch agent := known.GetAgent(); {
+	case agent == "":
+		return l.withdrawUnannounced(ctx, contract.AgentRef{Name: request.GetAgent(), Incarnation: request.GetIncarnation()})
+	case agent != request.GetAgent():
+		return nil, fault.Newf(fault.Conflict, "stop the agent, or set the endpoint leaving by an intent",
+			"endpoint %s does not announce itself; agent %s does", request.GetAgent(), agent)
 	}
 	incarnation := request.GetIncarnation()
 	if incarnation == 0 {
 		incarnation = known.GetIncarnation()
 	}
-	return &controlv1.AnnounceRequest{
+	return l.handleAnnouncement(ctx, &controlv1.AnnounceRequest{
 		Agent: request.GetAgent(), Incarnation: incarnation, Seq: request.GetSeq(),
 		Host: known.GetHost(), Zone: known.GetZone(), Region: known.GetRegion(),
 		Endpoints: []*fleetv1.Endpoint{known}, Full: true, Stopping: true,
+	})
+}
+
+// withdrawUnannounced records the withdrawal of an endpoint that is not announced.
+func (l *leadership) withdrawUnannounced(ctx context.Context, endpoint contract.AgentRef) (*controlv1.AnnounceResponse, error) {
+	if !l.state.Withdrawn(endpoint) {
+		data, err := contract.EncodeWithdraw(l.logTime(), endpoint)
+		if _, err := propose(ctx, l.log, data, err); err != nil {
+			return nil, err
+		}
+		l.logger.Info("an endpoint withdrew before it was announced", "endpoint", endpoint.Name, "incarnation", endpoint.Incarnation)
 	}
+	return l.announceResponse(true), nil
 }
 
 // outOfOrder reports whether a later announcement of the same incarnation has arrived before
