eventstream: scan each byte of a partial event once

An endpoint that sends an event without an end in small pieces occupied the entry's processor: each piece was scanned, and copied, together with all before it, up to 1 MiB.

Change: the splitter remembers up to where no event ends, and moves the partial event only after complete ones were returned.

TestPartialEventIsScannedOnce checks that offset after each piece, and lines that end within a piece. Not measured; the bound of an event is as before.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -32,6 +32,8 @@
 	// the bytes after the last complete event of the attempt.
 	buffer  []byte
 	partial int
+	// scanned is how many bytes from partial on are known not to contain the end of an event.
+	scanned int
 	// lastID is the id of the last emitted event; it is valid if hasLastID is true.
 	lastID    int64
 	hasLastID bool
@@ -53,7 +55,7 @@
 
 // Resume starts another attempt, which continues after the last emitted event.
 func (s *Splitter) Resume() {
-	s.buffer, s.partial = s.buffer[:0], 0
+	s.buffer, s.partial, s.scanned = s.buffer[:0], 0, 0
 	s.resumed = true
 }
 
@@ -83,6 +85,9 @@
 
 // removeReturned removes the events that the last call returned from the buffer.
 func (s *Splitter) removeReturned() {
+	if s.partial == 0 {
+		return
+	}
 	s.buffer = append(s.buffer[:0], s.buffer[s.partial:]...)
 	s.partial = 0
 }
@@ -91,7 +96,8 @@
 func (s *Splitter) split() ([]byte, error) {
 	emitted := 0
 	for {
-		end := eventLength(s.buffer[s.partial:])
+		end, scanned := eventLength(s.buffer[s.partial:], s.scanned)
+		s.scanned = scanned
 		if end < 0 {
 			break
 		}
@@ -139,21 +145,22 @@
 }
 
 // eventLength returns the length of the first complete event, including the empty line that
-// terminates it; -1 if there is none.
-func eventLength(data []byte) int {
-	from := 0
+// terminates it; -1 if there is none. Its end is looked for from the offset from on. scanned is that
+// offset for the next call, when more data has been appended; zero after a complete event.
+func eventLength(data []byte, from int) (length, scanned int) {
 	for {
 		at := bytes.IndexByte(data[from:], '\n')
 		if at < 0 {
-			return -1
+			return -1, len(data)
 		}
 		after := from + at + 1
-		rest := data[after:]
-		if len(rest) > 0 && rest[0] == '\n' {
-			return after + 1
-		}
-		if len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n' {
-			return after + 2
+		switch rest := data[after:]; {
+		case len(rest) == 0 || len(rest) == 1 && rest[0] == '\r':
+			return -1, after - 1 // the empty line may follow
+		case rest[0] == '\n':
+			return after + 1, 0
+		case rest[0] == '\r' && rest[1] == '\n':
+			return after + 2, 0
 		}
 		from = after
 	}
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -111,6 +111,23 @@
 	is.Equal(last, int64(14))
 }
 
+// TestPartialEventIsScannedOnce guards against an event without an end that is scanned again with each
+// of its bytes: an endpoint that sends single bytes would occupy the processor.
+func TestPartialEventIsScannedOnce(t *testing.T) {
+	is := is.New(t)
+	var s Splitter
+	for _, text := range []string{"data: part", "s\r", "\nid: 7", "\r\n", "data: x\n"} {
+		_, err := s.Add([]byte(text))
+		is.NoErr(err)
+		unscanned := string(s.buffer[s.scanned:])
+		is.True(len(unscanned) <= len("\n\r"))
+	}
+	out, err := s.Add([]byte("\n"))
+	is.NoErr(err)
+	is.Equal(string(out), "data: parts\r\nid: 7\r\ndata: x\n\n")
+	is.Equal(s.scanned, 0)
+}
+
 func TestEventSizeIsBounded(t *testing.T) {
 	is := is.New(t)
 	var s Splitter
