routed, direct: bound what is read of responses that do not end

Callers got 504 at their deadline, although another endpoint was free, when an endpoint sent without end a response to another request, or, slowly, the body of a refusal, of a 421 or of a failure that is retried. An endpoint that went on sending after a response did so until its next request.

Cause: these bodies were skipped without a limit of bytes, or of time; expired idle connections were closed only when their endpoint was used again.

Change: 256 KiB of a response to another request are skipped. The body of a refusal is waited for for 50 ms, then its connection is reset and the request retried. Idle connections are closed when they expire.

Before: of the 21 cases of TestEndlessBytes five failed ("refusal, slowly", "other endpoint at the address, slowly", "failure, slowly", "response to another request", "chunks to another request"), and TestBytesAfterResponse. After: they pass. TestResponseCutInItsHead (eight ways, each byte of the head, closed and reset) passed before as well: a cut head reaches no caller as a success.

--- a/direct/client.go
+++ b/direct/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -75,6 +76,8 @@
 	idle map[string][]*conn
 	// dialed is the number of connections established.
 	dialed uint64
+	// sweeping is true while a sweep of the idle connections is scheduled.
+	sweeping bool
 }
 
 // NewClient returns a client without connections.
@@ -186,4 +189,38 @@
 		conns = conns[1:]
 	}
 	c.idle[used.addr] = append(conns, used)
+	c.scheduleSweep()
+}
+
+// scheduleSweep schedules the closing of expired idle connections: an endpoint that goes on sending
+// after its response must not do so until its next request. The caller must hold the lock.
+func (c *Client) scheduleSweep() {
+	if c.sweeping || len(c.idle) == 0 {
+		return
+	}
+	c.sweeping = true
+	time.AfterFunc(c.config.IdleTimeout, c.sweep)
+}
+
+// sweep closes the expired idle connections.
+func (c *Client) sweep() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, conns := range c.idle {
+		kept := slices.DeleteFunc(conns, func(idleConn *conn) bool {
+			expired := !now.Before(idleConn.expires)
+			if expired {
+				idleConn.close()
+			}
+			return expired
+		})
+		if len(kept) == 0 {
+			delete(c.idle, addr)
+			continue
+		}
+		c.idle[addr] = kept
+	}
+	c.sweeping = false
+	c.scheduleSweep()
 }
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -23,6 +23,9 @@
 	// maxSkippedResponses is the maximum number of interim responses and responses to other
 	// requests that are skipped on one connection.
 	maxSkippedResponses = 8
+	// maxSkippedBytes is the maximum size of the body of a response to another request that is
+	// skipped.
+	maxSkippedBytes = 256 << 10
 )
 
 // Request is a request to an endpoint.
@@ -76,6 +79,14 @@
 	Unframed bool
 }
 
+// Discard reads the rest of the body, so that the connection can be reused. If it does not end within
+// maxBytes and maxWait, the connection is reset.
+func (r *Response) Discard(maxBytes int64, maxWait time.Duration) {
+	reset := time.AfterFunc(maxWait, func() { _ = r.Body.Close() })
+	defer reset.Stop()
+	_, _ = io.CopyN(io.Discard, r.Body, maxBytes)
+}
+
 // Send sends a request and waits for the head of its response. ctx applies to the whole
 // exchange, including the body: when it is done, the connection is reset, which tells the
 // endpoint that the caller has disconnected.
@@ -232,11 +243,12 @@
 
 // discard reads and drops the response to another request.
 func (x *exchange) discard(response *http.Response) error {
-	if _, err := io.Copy(io.Discard, response.Body); err != nil {
-		return err
-	}
-	if response.Close {
+	_, err := io.CopyN(io.Discard, response.Body, maxSkippedBytes)
+	switch {
+	case err == nil || response.Close: // it goes on, or nothing follows it
 		return errForeignResponses
+	case !errors.Is(err, io.EOF):
+		return err
 	}
 	return nil
 }
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -23,6 +23,9 @@
 	// maxRefusalBytes is how much of a refusal's body is read so that its connection can be
 	// reused.
 	maxRefusalBytes = 16 << 10
+	// maxRefusalWait is how long the rest of such a body is waited for: the request is retried
+	// elsewhere after that.
+	maxRefusalWait = 50 * time.Millisecond
 )
 
 // handleResponse evaluates the head of a response and delivers or rejects the response.
@@ -83,7 +86,7 @@
 		return a.deliverBuffered(r)
 	}
 	a.recordResult(true)
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxRefusalBytes))
+	r.Discard(maxRefusalBytes, maxRefusalWait)
 	return attemptResult{fault: f, decision: decision}
 }
 
@@ -91,7 +94,7 @@
 // the address belongs to another endpoint, so the intended one is marked as replaced.
 func (a *attempt) handleRejection(r *direct.Response) attemptResult {
 	s := a.server
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxRefusalBytes))
+	r.Discard(maxRefusalBytes, maxRefusalWait)
 	a.recordResult(false)
 	if r.Status == http.StatusMisdirectedRequest {
 		s.Reach.Replaced(a.target.ID)
