answer: reset the connection of an HTTP/1.0 caller whose response is truncated

A stream that broke off, and a response above the buffer's size, looked whole to a caller that speaks HTTP/1.0.

Cause: to such a caller the end of the connection ends the response, and the server closed it in order.

Change: a truncated response resets the connection of an HTTP/1.0 caller, on both interfaces. Others see it from the missing end of the chunks, as before.

Before: TestTruncatedResponseToHTTP10Caller failed (105 bytes, no error). After: it and TestTruncatedAnswerToHTTP10Caller pass.

--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -9,6 +9,7 @@
 
 	"go.opentelemetry.io/otel/attribute"
 
+	"github.com/lilackeel/lilackeel/answer"
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	"github.com/lilackeel/lilackeel/call"
@@ -80,7 +81,7 @@
 	x.prepare()
 	defer x.closeAttempt()
 	if !x.runActions() {
-		panic(http.ErrAbortHandler)
+		answer.Abort(w, r)
 	}
 }
 
--- a/routed/framing.go
+++ b/routed/framing.go
@@ -68,6 +68,9 @@
 	mixed                          atomic.Bool
 }
 
+// NetConn returns the connection that is guarded.
+func (c *guardedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *guardedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/routed/server.go
+++ b/routed/server.go
@@ -200,9 +200,7 @@
 	}
 	x := &exchange{server: s, request: q, w: w, control: http.NewResponseController(w), callerCtx: ctx}
 	if !x.run() {
-		// The connection is closed, so that a truncated response is not taken for a complete
-		// one.
-		panic(http.ErrAbortHandler)
+		answer.Abort(w, r)
 	}
 }
 
