agent: give up the endless answer to a claimed call whose caller has left

An endpoint that sent without end kept a slot and the agent busy for -claim-limit, ten minutes, after its caller had been cut off at the deadline.

Cause: the answer to a claimed call is read to its end after its caller has left, so that it can be recorded; neither bytes nor the size of the record bounded it.

Change: 16 MiB are read after the caller has left; then the outcome is unknown.

--- a/agent/dispatch.go
+++ b/agent/dispatch.go
@@ -205,8 +205,16 @@
 	return fault.New(fault.NotFound, "the stream cannot be resumed here", "retry the call from the beginning")
 }
 
+// maxAbandonedBytes is how much of the answer to a claimed call is read after its caller has
+// disconnected. An endpoint in trouble may send without end.
+const maxAbandonedBytes = 16 << 20
+
+// errEndlessAnswer ends the answer to a claimed call that does not end after its caller has
+// disconnected.
+var errEndlessAnswer = fault.Newf(fault.Unknown, "check the endpoint", "the caller has disconnected, and more than %d bytes of the answer followed", maxAbandonedBytes)
+
 // forward sends an answer to the caller. The answer to a claimed call is read to its end even if the
-// caller has disconnected.
+// caller has disconnected, up to maxAbandonedBytes.
 func (c *call) forward(a *answer) (gate.Outcome, error) {
 	streamID := a.response.Header.Get(engineapi.HeaderStreamID)
 	c.streams.remember(c.dispatch.GetRequestId(), streamID)
@@ -220,14 +228,19 @@
 	if sendErr != nil && !claimed {
 		return gate.Incomplete, sendErr
 	}
+	abandoned := 0
 	err := a.copyTo(func(offset uint64, part []byte) error {
 		if sendErr == nil {
 			sendErr = c.out.chunk(offset, part)
 		}
-		if claimed {
-			return nil
+		if sendErr == nil || !claimed {
+			return sendErr
+		}
+		abandoned += len(part)
+		if abandoned > maxAbandonedBytes {
+			return errEndlessAnswer
 		}
-		return sendErr
+		return nil
 	})
 	c.length = a.offset
 	if err != nil {
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -109,6 +109,9 @@
 // SetFaults replaces the injected faults.
 func (e *Engine) SetFaults(f Faults) { e.faults.set(f) }
 
+// RawResponses returns the number of raw responses (Faults.RawResponse) that are being written.
+func (e *Engine) RawResponses() int { return e.faults.rawResponses() }
+
 // Counts returns how many model calls were started and how many of them were cancelled by their
 // caller.
 func (e *Engine) Counts() (started, cancelled int) {
@@ -195,6 +198,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if e.faults.respondRaw(w) {
+		return
+	}
 	if f := e.faults.get(); f.Status != 0 {
 		http.Error(w, "injected fault", f.Status)
 		return
--- a/standin/fault.go
+++ b/standin/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"sync"
 	"time"
@@ -37,6 +38,12 @@
 	RetryAfter string `json:"retry_after,omitempty"`
 	// Refuse closes the connection of every request without a response.
 	Refuse bool `json:"refuse,omitempty"`
+	// RawResponse is written in place of the response to every call, after which the connection is
+	// closed.
+	RawResponse string `json:"raw_response,omitempty"`
+	// RawRepeated is written after RawResponse, again and again until the client closes the
+	// connection.
+	RawRepeated string `json:"raw_repeated,omitempty"`
 	// Leaving announces in every response that the stand-in is about to stop.
 	Leaving bool `json:"leaving,omitempty"`
 }
@@ -49,7 +56,9 @@
 type faultState struct {
 	mu      sync.Mutex
 	current Faults
-	pauses  pauseTracker
+	// raw is the number of raw responses that are being written.
+	raw    int
+	pauses pauseTracker
 }
 
 func (f *faultState) get() Faults {
@@ -105,6 +114,39 @@
 	return true
 }
 
+// respondRaw writes RawResponse and RawRepeated if they are set, and reports whether one is.
+func (f *faultState) respondRaw(w http.ResponseWriter) bool {
+	faults := f.get()
+	if faults.RawResponse == "" && faults.RawRepeated == "" {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	defer func() { _ = conn.Close() }()
+	f.addRaw(1)
+	defer f.addRaw(-1)
+	_, err = io.WriteString(conn, faults.RawResponse)
+	for err == nil && faults.RawRepeated != "" {
+		_, err = io.WriteString(conn, faults.RawRepeated)
+	}
+	return true
+}
+
+func (f *faultState) addRaw(change int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.raw += change
+}
+
+// rawResponses returns the number of raw responses that are being written.
+func (f *faultState) rawResponses() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.raw
+}
+
 // waitStall blocks while Stall is set. It returns false if the caller disconnected.
 func (f *faultState) waitStall(r *http.Request) bool {
 	for f.get().Stall {
--- a/standin/service.go
+++ b/standin/service.go
@@ -63,6 +63,9 @@
 // SetFaults replaces the injected faults.
 func (s *Service) SetFaults(f Faults) { s.faults.set(f) }
 
+// RawResponses returns the number of raw responses (Faults.RawResponse) that are being written.
+func (s *Service) RawResponses() int { return s.faults.rawResponses() }
+
 // Faults returns the faults that are currently injected.
 func (s *Service) Faults() Faults { return s.faults.get() }
 
@@ -89,6 +92,9 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if s.faults.respondRaw(w) {
+		return
+	}
 	if f := s.faults.get(); f.Status != 0 {
 		http.Error(w, "injected fault", f.Status)
 		return
