replica, wal: a restart during the first start does not stop the cluster from forming

No configuration was confirmed and no request served, for good, when one of three control replicas lost its disk, or was only killed, before the first membership was stored.

Cause: all initial voters had to have the permission to form a cluster, which their settings give only at the first start. The others waited for the restarted one, and it for a cluster that it could join.

Change: the permission is kept in the label of the disk. A majority of the initial voters with it is enough, all of them having blank disks. After a lost disk, each must have seen the others' present disks, and takes no first entry of an earlier one.

--- a/replica/config.go
+++ b/replica/config.go
@@ -41,7 +41,8 @@
 	// Peers are the initial voters or, with Join, the replicas to send join
 	// messages to.
 	Peers map[uint64]string
-	// Join prevents a replica with a blank disk from bootstrapping a new cluster.
+	// Join prevents a replica with a blank disk from bootstrapping a new cluster, unless
+	// the label of the disk says that it may.
 	Join bool
 	// ElectionTimeout is how long a follower waits for a message from its leader
 	// before it campaigns. The actual timeout is randomized, up to twice as long.
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -72,7 +72,11 @@
 //
 // A replica with a blank disk sends join. In a new cluster, the voter with the
 // lowest id waits until all initial voters have answered from blank disks, and
-// then creates the first membership (genesis). In an existing cluster, the
+// then creates the first membership (genesis). A voter that restarts before that
+// may still create it if it has kept its disk, as the label of the disk says. One
+// that has lost its disk only joins; a majority of the initial voters that have not
+// is enough to create the membership, because what a minority stored was not
+// committed. In an existing cluster, the
 // leader assigns the blank disk to its member, as a learner, if the member has
 // no disk yet or has been unresponsive for RepairAfter. A learner that replaces
 // a voter is promoted when it has caught up. With Config.Voters the leader also
--- a/replica/join.go
+++ b/replica/join.go
@@ -21,9 +21,9 @@
 	// seenDisks are the disks from which join messages came, by replica. The join
 	// messages to these replicas echo them, which shows that the messages are recent.
 	seenDisks map[uint64]uint64
-	// blankVoters are the initial voters that answered this disk and have blank
-	// disks themselves.
-	blankVoters map[uint64]*pb.Member
+	// blankVoters are the last join messages of the initial voters that answered this
+	// disk and have blank disks themselves.
+	blankVoters map[uint64]*pb.Message
 }
 
 // sendJoins sends join to all replicas that may belong to a cluster or may
@@ -56,15 +56,23 @@
 	if to == n.cfg.ID {
 		return
 	}
-	n.send(&pb.Message{
+	join := &pb.Message{
 		Kind: pb.MessageKind_MESSAGE_KIND_JOIN, To: to, Addr: n.cfg.Addr,
 		Force: n.mayBootstrap(), Echo: n.bootstrap.seenDisks[to],
-	})
+	}
+	if n.members.current() == nil {
+		for _, id := range slices.Sorted(maps.Keys(n.bootstrap.seenDisks)) {
+			join.Seen = append(join.Seen, &pb.SeenDisk{Id: id, Disk: n.bootstrap.seenDisks[id]})
+		}
+	}
+	n.send(join)
 }
 
 // mayBootstrap reports whether this disk is blank and the replica is allowed to
-// bootstrap a cluster.
-func (n *Node) mayBootstrap() bool { return !n.cfg.Join && n.members.current() == nil }
+// bootstrap a cluster, in this start or in an earlier one on the same disk.
+func (n *Node) mayBootstrap() bool {
+	return (!n.cfg.Join || n.cfg.Disk.GetFounder()) && n.members.current() == nil
+}
 
 func (n *Node) handleJoin(m *pb.Message) {
 	if n.members.current() == nil {
@@ -111,34 +119,67 @@
 // earlier disk of this replica has bootstrapped.
 func (n *Node) recordBlankVoter(m *pb.Message) {
 	from := m.GetFrom()
-	n.bootstrap.seenDisks[from] = m.GetDisk()
-	addr, initial := n.cfg.Peers[from]
-	if !initial || !m.GetForce() || m.GetEcho() != n.cfg.Disk.GetIdentity() {
+	_, initial := n.cfg.Peers[from]
+	if initial {
+		n.bootstrap.seenDisks[from] = m.GetDisk()
+	}
+	if !initial || m.GetEcho() != n.cfg.Disk.GetIdentity() || m.GetCluster() != 0 {
 		delete(n.bootstrap.blankVoters, from)
 		return
 	}
-	n.bootstrap.blankVoters[from] = &pb.Member{
-		Id: from, Addr: addr, Disk: m.GetDisk(), Incarnation: m.GetIncarnation(), Boot: m.GetBoot(),
-		Role: pb.Role_ROLE_VOTER,
-	}
+	n.bootstrap.blankVoters[from] = m
 }
 
 // tryBootstrap starts a cluster once all initial voters have answered with blank
-// disks. Only the voter with the lowest id does so, so that only one cluster is
-// formed.
+// disks and a majority of them may bootstrap it. The others have lost their disks
+// since the first start and only join; too few of them to have stored anything that
+// was committed. Of those that may bootstrap, only the voter with the lowest id does
+// so, so that only one cluster is formed.
 func (n *Node) tryBootstrap() {
-	if !n.mayBootstrap() || len(n.cfg.Peers) == 0 {
+	voters := len(n.cfg.Peers)
+	_, initial := n.cfg.Peers[n.cfg.ID]
+	if !n.mayBootstrap() || !initial || len(n.bootstrap.blankVoters) != voters-1 {
 		return
 	}
-	if slices.Min(slices.Collect(maps.Keys(n.cfg.Peers))) != n.cfg.ID {
-		return
+	founders := 1
+	for id, join := range n.bootstrap.blankVoters {
+		if join.GetForce() && id < n.cfg.ID {
+			return
+		}
+		if join.GetForce() {
+			founders++
+		}
 	}
-	if len(n.bootstrap.blankVoters) != len(n.cfg.Peers)-1 {
+	if founders <= voters/2 || founders < voters && !n.blankVotersAgree() {
 		return
 	}
 	n.startCluster()
 }
 
+// blankVotersAgree reports whether each blank voter has received join from the disks
+// that the others have now. It then accepts no first entry from an earlier disk of
+// one of them, which may have bootstrapped a cluster before it was lost.
+func (n *Node) blankVotersAgree() bool {
+	for id := range n.bootstrap.blankVoters {
+		for _, other := range n.bootstrap.blankVoters {
+			if id != other.GetFrom() && seenDisk(other, id) != n.bootstrap.seenDisks[id] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// seenDisk returns the disk of a replica that the sender of a join message has seen.
+func seenDisk(join *pb.Message, id uint64) uint64 {
+	for _, seen := range join.GetSeen() {
+		if seen.GetId() == id {
+			return seen.GetDisk()
+		}
+	}
+	return 0
+}
+
 // startCluster appends the first entry, whose membership names every initial voter,
 // and sends it to the others.
 func (n *Node) startCluster() {
@@ -147,8 +188,11 @@
 		Id: n.cfg.ID, Addr: n.cfg.Peers[n.cfg.ID], Disk: n.cfg.Disk.GetIdentity(),
 		Incarnation: n.cfg.Disk.GetIncarnation(), Boot: n.cfg.Boot, Role: pb.Role_ROLE_VOTER,
 	})
-	for _, member := range n.bootstrap.blankVoters {
-		membership = withMember(membership, member)
+	for id, join := range n.bootstrap.blankVoters {
+		membership = withMember(membership, &pb.Member{
+			Id: id, Addr: n.cfg.Peers[id], Disk: join.GetDisk(), Incarnation: join.GetIncarnation(), Boot: join.GetBoot(),
+			Role: pb.Role_ROLE_VOTER,
+		})
 	}
 	n.installGenesis(&pb.Entry{
 		Index: genesisIndex, Term: genesisTerm, Kind: pb.EntryKind_ENTRY_KIND_MEMBERSHIP, Membership: membership,
@@ -200,6 +244,9 @@
 	if n.members.current() != nil || len(m.GetEntries()) != 1 {
 		return
 	}
+	if seen := n.bootstrap.seenDisks[m.GetFrom()]; seen != 0 && seen != m.GetDisk() {
+		return // the sender has lost its disk since
+	}
 	entry := m.GetEntries()[0]
 	member := FindMember(entry.GetMembership(), n.cfg.ID)
 	if entry.GetIndex() != genesisIndex || member.GetDisk() != n.cfg.Disk.GetIdentity() {
--- a/replica/node.go
+++ b/replica/node.go
@@ -70,7 +70,7 @@
 	n.reads.forwarded = map[uint64]bool{}
 	n.restore(saved)
 	n.admission = admission{started: now, agreed: map[uint64]uint64{}, lostDisks: map[uint64]bool{}}
-	n.bootstrap = bootstrap{seenDisks: map[uint64]uint64{}, blankVoters: map[uint64]*pb.Member{}}
+	n.bootstrap = bootstrap{seenDisks: map[uint64]uint64{}, blankVoters: map[uint64]*pb.Message{}}
 	n.resetElectionTimer()
 	n.checkAdmission()
 	return n, nil
--- a/replica/server/server.go
+++ b/replica/server/server.go
@@ -76,7 +76,8 @@
 	// Peers maps the ids of the initial voters, including this one, to their
 	// host:port. With Join, they are the replicas to send join messages to.
 	Peers map[uint64]string
-	// Join prevents a replica with a blank disk from bootstrapping a new cluster.
+	// Join prevents a replica with a blank disk from bootstrapping a new cluster, unless
+	// that disk was first used without Join.
 	Join bool
 	// Addr is this replica's host:port; Peers[ID] if empty.
 	Addr string
@@ -162,7 +163,7 @@
 // empty.
 func Open(cfg Config, sm StateMachine) (*Server, error) {
 	cfg.setDefaults()
-	log, state, err := wal.Open(wal.Options{Dir: cfg.DataDir, FS: cfg.FS, Reserve: cfg.SnapshotReserve, NewIdentity: randomNumber})
+	log, state, err := wal.Open(wal.Options{Dir: cfg.DataDir, FS: cfg.FS, Reserve: cfg.SnapshotReserve, Founder: !cfg.Join, NewIdentity: randomNumber})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -29,7 +29,7 @@
 
 func (d *disk) copy() *disk {
 	copied := &disk{hard: d.hard, snapshot: d.snapshot, entries: slices.Clone(d.entries)}
-	copied.label.Identity, copied.label.Incarnation = d.label.Identity, d.label.Incarnation
+	copied.label.Identity, copied.label.Incarnation, copied.label.Founder = d.label.Identity, d.label.Incarnation, d.label.Founder
 	return copied
 }
 
@@ -238,7 +238,10 @@
 	h.disk.label.Incarnation++
 	h.boots++
 	saved := Saved{HardState: h.disk.hard, Snapshot: h.disk.snapshot, Entries: slices.Clone(h.disk.entries)}
-	label := &pb.DiskLabel{Identity: h.disk.label.Identity, Incarnation: h.disk.label.Incarnation}
+	if h.disk.label.Incarnation == 1 {
+		h.disk.label.Founder = !h.join
+	}
+	label := &pb.DiskLabel{Identity: h.disk.label.Identity, Incarnation: h.disk.label.Incarnation, Founder: h.disk.label.Founder}
 	peers := h.sim.peers
 	if h.peers != nil {
 		peers = h.peers
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -188,7 +188,7 @@
 func (l *Log) loadLabel(isNew bool) (*pb.DiskLabel, error) {
 	label := &pb.DiskLabel{}
 	if isNew {
-		label.Identity = l.options.NewIdentity()
+		label.Identity, label.Founder = l.options.NewIdentity(), l.options.Founder
 	} else if err := l.readLabel(label); err != nil {
 		return nil, err
 	}
--- a/wal/wal.go
+++ b/wal/wal.go
@@ -34,6 +34,8 @@
 	// Reserve is how many bytes of the disk are kept free for the next snapshot, in addition to twice
 	// the size of the last one; none are if it is zero.
 	Reserve int64
+	// Founder is stored in the label of a new disk; see DiskLabel.
+	Founder bool
 	// NewIdentity returns a random non-zero number that identifies a new disk.
 	NewIdentity func() uint64
 }
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -329,6 +329,26 @@
 	is.NoErr(third.Close())
 }
 
+// A replica that restarts with other settings before its cluster is formed may still form it: the
+// label says so for as long as the disk lasts, and not for a disk that is first used later.
+func TestLabelKeepsFounder(t *testing.T) {
+	is := is.New(t)
+	options := Options{Dir: filepath.Join(t.TempDir(), "replica"), Founder: true, NewIdentity: func() uint64 { return 7 }}
+	open := func() bool {
+		l, state, err := Open(options)
+		is.NoErr(err)
+		is.NoErr(l.Close())
+		return state.Label.GetFounder()
+	}
+	is.True(open())
+	options.Founder = false
+	is.True(open())
+	is.NoErr(os.RemoveAll(options.Dir)) // the disk is lost
+	is.True(!open())
+	options.Founder = true
+	is.True(!open())
+}
+
 // FuzzSegment opens a log with arbitrary data as its only segment. Open must not
 // panic, and a log that it accepts must yield the same state when opened again.
 func FuzzSegment(f *testing.F) {
