--- a/replica/sim_test.go
+++ b/replica/sim_test.go
@@ -17,6 +17,8 @@
 	simElection  = 100 * time.Millisecond
 	simHeartbeat = 20 * time.Millisecond
 	simSnapshot  = 8 // entries between two snapshots
+	// simRepairAfter applies to hosts with the election timeout simElection.
+	simRepairAfter = 4 * simElection
 )
 
 // disk is the state that survives a crash of a host.
