replica: replace a replacement that is lost before it is promoted

A cluster stayed at two voters for good when the replica that was to replace a lost voter was lost itself before its promotion; the next loss ended it.

Cause: a learner that is marked for promotion counts as a voter when places are counted, and only voters were ever replaced.

Change: such a learner is replaced like a voter, by a standby or a replica that joins, after the time that holds for standbys. One without a disk has not been started yet and is left alone.

Before: TestReplacementThatIsLostBeforePromotion failed ("not within 4s: the new voter"). After: it passes.

--- a/replica/replacement.go
+++ b/replica/replacement.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"time"
+
 	pb "github.com/lilackeel/lilackeel/api/replica/v1"
 )
 
@@ -21,8 +23,11 @@
 		Role: pb.Role_ROLE_LEARNER, Promote: true,
 	}
 	changed := current
-	switch unresponsive := n.unresponsiveVoter(); {
+	switch unresponsive := n.unresponsiveVoter(n.cfg.RepairAfter); {
 	case plannedVoters(current) < n.cfg.Voters:
+	case unresponsive != nil && !isVoter(unresponsive) && n.silence(unresponsive) < standbyTakeoverFactor*n.cfg.RepairAfter:
+		n.introduce(m) // the learner may be busy with a snapshot
+		return
 	case unresponsive != nil:
 		changed = withRemoval(current, unresponsive.GetId())
 	case len(current.GetMembers())-plannedVoters(current) < n.cfg.Voters:
@@ -53,29 +58,35 @@
 	return count
 }
 
-// unresponsiveVoter returns a voter that has not responded for RepairAfter, so that
-// it may be replaced, or nil.
-func (n *Node) unresponsiveVoter() *pb.Member {
-	for _, member := range voters(n.members.current()) {
-		pr := n.progress[member.GetId()]
-		if member.GetId() != n.cfg.ID && pr != nil && n.now-pr.lastResponse >= n.cfg.RepairAfter {
+// unresponsiveVoter returns a voter, or a learner that is to be promoted, that has not
+// responded for the given time, so that it may be replaced, or nil. A learner without a
+// disk has not been started yet.
+func (n *Node) unresponsiveVoter(silent time.Duration) *pb.Member {
+	for _, member := range n.members.current().GetMembers() {
+		planned := isVoter(member) || member.GetPromote() && member.GetDisk() != 0
+		if planned && member.GetId() != n.cfg.ID && n.progress[member.GetId()] != nil && n.silence(member) >= silent {
 			return member
 		}
 	}
 	return nil
 }
 
-// replaceUnresponsiveVoter replaces a voter that has been unresponsive for
-// standbyTakeoverFactor times RepairAfter by a standby learner that has caught up.
-// If the voter returns, its disk is no longer a member and it must join with a
-// blank one.
+// silence returns the time since a member has responded.
+func (n *Node) silence(member *pb.Member) time.Duration {
+	return n.now - n.progress[member.GetId()].lastResponse
+}
+
+// replaceUnresponsiveVoter replaces a voter, or a learner that is to be promoted, that
+// has been unresponsive for standbyTakeoverFactor times RepairAfter by a standby learner
+// that has caught up. If the replica returns, its disk is no longer a member and it must
+// join with a blank one.
 func (n *Node) replaceUnresponsiveVoter() {
 	if n.cfg.Voters == 0 {
 		return
 	}
 	current := n.members.current()
-	unresponsive := n.unresponsiveVoter()
-	if unresponsive == nil || n.now-n.progress[unresponsive.GetId()].lastResponse < standbyTakeoverFactor*n.cfg.RepairAfter {
+	unresponsive := n.unresponsiveVoter(standbyTakeoverFactor * n.cfg.RepairAfter)
+	if unresponsive == nil {
 		return
 	}
 	for _, member := range current.GetMembers() {
--- a/replica/replacement_test.go
+++ b/replica/replacement_test.go
@@ -74,6 +74,32 @@
 	s.checkHistory()
 }
 
+// A replica that replaces a lost voter is itself lost before it is promoted. Another one
+// must take its place; otherwise the cluster is one voter short for good, and the next
+// loss ends it.
+func TestReplacementThatIsLostBeforePromotion(t *testing.T) {
+	proof.Cell{Promise: proof.DurableConfiguration, Faults: []proof.Fault{proof.Kill, proof.SecondLoss}, Step: "a replacement lost before it is promoted", Combined: true,
+		Guard: "a learner that is to be promoted is replaced like a voter"}.Log(t)
+	for _, standbyFirst := range []bool{false, true} {
+		is := is.New(t)
+		s, leader := startSelfManaged(t)
+		s.others(leader)[0].kill()
+		s.run(3 * simRepairAfter)
+		lost := s.add(4, true)
+		s.until(10*simElection, "the learner", func() bool { return s.role(4) == pb.Role_ROLE_LEARNER })
+		lost.kill()
+		if !standbyFirst {
+			s.run(5 * simRepairAfter)
+		}
+		s.add(5, true)
+		s.until(40*simElection, "the new voter", func() bool { return s.role(5) == pb.Role_ROLE_VOTER })
+		is.Equal(len(voters(s.leader().node.Membership())), 3)
+		s.others(s.leader())[1].kill()
+		s.commit(s.leader)
+		s.checkHistory()
+	}
+}
+
 // Without Config.Voters, membership changes are up to the operator.
 func TestUnknownReplicaIsNotAddedWithoutVoterTarget(t *testing.T) {
 	is := is.New(t)
