replica: a voter that pauses while another replica joins keeps its place

A voter that was silent for half a second lost its place, and its intact disk, if a replica joined just then. One lost disk later the configuration stood on one disk.

Cause: a replica that joins replaced a voter after RepairAfter, a quarter of the time that a standby waits.

Change: it waits for twice RepairAfter; until then it is told where the leader is, and asks again.

Before: TestVoterThatPausesDuringJoinKeepsItsPlace failed.

--- a/replica/replacement.go
+++ b/replica/replacement.go
@@ -25,8 +25,8 @@
 	changed := current
 	switch unresponsive := n.unresponsiveVoter(n.cfg.RepairAfter); {
 	case plannedVoters(current) < n.cfg.Voters:
-	case unresponsive != nil && !isVoter(unresponsive) && n.silence(unresponsive) < standbyTakeoverFactor*n.cfg.RepairAfter:
-		n.introduce(m) // the learner may be busy with a snapshot
+	case unresponsive != nil && n.silence(unresponsive) < n.takeoverAfter(unresponsive, newReplicaTakeoverFactor):
+		n.introduce(m) // it will be a standby if the voter responds, or else replace it
 		return
 	case unresponsive != nil:
 		changed = withRemoval(current, unresponsive.GetId())
@@ -76,6 +76,15 @@
 	return n.now - n.progress[member.GetId()].lastResponse
 }
 
+// takeoverAfter returns how long a member must be unresponsive before another replica
+// takes its place. A learner may be busy with a snapshot.
+func (n *Node) takeoverAfter(member *pb.Member, factor time.Duration) time.Duration {
+	if !isVoter(member) {
+		factor = standbyTakeoverFactor
+	}
+	return factor * n.cfg.RepairAfter
+}
+
 // replaceUnresponsiveVoter replaces a voter, or a learner that is to be promoted, that
 // has been unresponsive for standbyTakeoverFactor times RepairAfter by a standby learner
 // that has caught up. If the replica returns, its disk is no longer a member and it must
@@ -102,6 +111,11 @@
 	}
 }
 
-// standbyTakeoverFactor is how many times RepairAfter a voter must be unresponsive
-// before a standby replaces it. A restart takes less time than that.
-const standbyTakeoverFactor = 4
+const (
+	// standbyTakeoverFactor is how many times RepairAfter a voter must be unresponsive
+	// before a standby replaces it. A restart takes less time than that.
+	standbyTakeoverFactor = 4
+	// newReplicaTakeoverFactor is the same for a replica that joins. It lets a voter
+	// pause for a moment just when another replica joins.
+	newReplicaTakeoverFactor = 2
+)
--- a/replica/replacement_test.go
+++ b/replica/replacement_test.go
@@ -74,6 +74,23 @@
 	s.checkHistory()
 }
 
+// A voter pauses for longer than RepairAfter just when a replica joins. It must keep its
+// place: its disk is intact, and without it the next lost disk leaves one copy.
+func TestVoterThatPausesDuringJoinKeepsItsPlace(t *testing.T) {
+	is := is.New(t)
+	s, leader := startSelfManaged(t)
+	paused := s.others(leader)[0]
+	paused.frozen = true
+	s.run(simRepairAfter + simElection)
+	s.add(4, true)
+	s.run(simElection)
+	paused.resume()
+	s.until(10*simElection, "the standby", func() bool { return s.role(4) == pb.Role_ROLE_LEARNER })
+	is.Equal(s.role(paused.id), pb.Role_ROLE_VOTER)
+	is.NoErr(paused.node.Err())
+	s.commit(s.leader)
+}
+
 // A replica that replaces a lost voter is itself lost before it is promoted. Another one
 // must take its place; otherwise the cluster is one voter short for good, and the next
 // loss ends it.
