wal, control: emptying a refused disk survives a power cut

Every start refuses that as corrupt, and nothing mends it.

Cause: the files were removed one by one, in the order of their names.

Change: an empty file marks the directory as discarded, durably, before any other file is removed; the next start goes on. The mark is removed last.

Before: with the files removed as before TestDiscardSurvivesPowerCut fails. A rename of the label as the mark failed it as well, as both names may be lost.

--- a/control/recover.go
+++ b/control/recover.go
@@ -3,11 +3,10 @@
 import (
 	"errors"
 	"log/slog"
-	"os"
-	"path/filepath"
 	"syscall"
 
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/wal"
 )
 
 // Recover removes the cause of a replica's failure where that is safe, and reports whether the
@@ -24,7 +23,7 @@
 		return true
 	case s.Voters > 0 && fault.Is(err, fault.Fenced):
 		logger.Warn("the cluster refused this disk; emptying it and joining again", slog.Any("error", err))
-		if err := emptyDir(s.DataDir); err != nil {
+		if err := wal.Discard(wal.Options{Dir: s.DataDir}); err != nil {
 			logger.Error("cannot empty the data directory", slog.Any("error", err))
 			return false
 		}
@@ -33,21 +32,3 @@
 	}
 	return false
 }
-
-// emptyDir removes everything in a directory and makes the removal durable.
-func emptyDir(path string) error {
-	entries, err := os.ReadDir(path)
-	if err != nil {
-		return err
-	}
-	for _, entry := range entries {
-		if err := os.RemoveAll(filepath.Join(path, entry.Name())); err != nil {
-			return err
-		}
-	}
-	dir, err := os.Open(path)
-	if err != nil {
-		return err
-	}
-	return errors.Join(dir.Sync(), dir.Close())
-}
--- a/wal/load.go
+++ b/wal/load.go
@@ -10,6 +10,9 @@
 
 // load reads the stored state and opens the last segment for appending.
 func (l *Log) load() (State, error) {
+	if err := l.finishDiscard(); err != nil {
+		return State{}, err
+	}
 	sequences, snapshots, err := l.listFiles()
 	if err != nil {
 		return State{}, err
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -449,6 +449,51 @@
 	}
 }
 
+// TestDiscardSurvivesPowerCut guards against a power cut while a refused disk is emptied that leaves a
+// log without the snapshot that it refers to: no start would accept that. The power fails at each
+// operation; the disk then holds the whole state or counts as blank, and can be discarded again.
+func TestDiscardSurvivesPowerCut(t *testing.T) {
+	is := is.New(t)
+	options := func(m *memFS) Options {
+		return Options{Dir: dir, FS: m, SegmentMax: 600, Reserve: 1 << 10, NewIdentity: m.rand.Uint64}
+	}
+	for failAt, seed := 1, uint64(0); ; seed++ {
+		m := newMemFS(seed)
+		l, before, err := Open(options(m))
+		is.NoErr(err)
+		want, _, err := runSteps(l)
+		is.NoErr(err)
+		is.NoErr(l.Close())
+		m.calls, m.failAt = 0, failAt
+		err = Discard(options(m))
+		failed := m.failedOperation != ""
+		m.crash()
+		l, state, openErr := Open(options(m))
+		if openErr != nil {
+			t.Fatalf("operation %d, seed %d: %v", failAt, seed, openErr)
+		}
+		blank := state.Label.GetIdentity() != before.Label.GetIdentity()
+		if difference := stateDiff(state, want); !blank && difference != "" {
+			t.Fatalf("operation %d, seed %d: %s", failAt, seed, difference)
+		}
+		is.True(!blank || len(state.Entries) == 0 && state.Snapshot == nil)
+		is.NoErr(l.Close())
+		is.NoErr(Discard(options(m)))
+		l, again, err := Open(options(m))
+		is.NoErr(err)
+		is.True(len(again.Entries) == 0 && again.Snapshot == nil && again.Label.GetIdentity() != state.Label.GetIdentity())
+		is.NoErr(l.Close())
+		if !failed {
+			is.NoErr(err)
+			t.Logf("%d operations", failAt-1)
+			return
+		}
+		if seed%20 == 19 {
+			failAt++
+		}
+	}
+}
+
 // TestCoveredEntriesAreDropped guards against a start that holds entries which a snapshot has replaced until
 // all segments are read.
 func TestCoveredEntriesAreDropped(t *testing.T) {
