eventstream, routed: streams whose ids increase unevenly are heard out

Callers' streams were cut at the third event, at every endpoint, where endpoints number events by tokens.

Cause: the difference of the first two ids was taken for the step of all events.

Change: how a pool numbers is learned from its streams. An uneven step is an error where it numbers evenly, as before, and none where it does not; until that is known, after two equal steps, and not if a second endpoint gives its next event the same id.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -37,12 +37,28 @@
 	// lastID is the id of the last emitted event; it is valid if hasLastID is true.
 	lastID    int64
 	hasLastID bool
-	// idStep is the difference between the last two ids; zero until two have been seen.
-	idStep int64
+	// idStep is the difference between the first two ids; zero until two have been seen.
+	// evenSteps is how many differences in a row from the first one on were equal to it, and
+	// uneven is true once one was not.
+	idStep    int64
+	evenSteps int
+	uneven    bool
+	numbering Numbering
+	// rejected is the id of the event after which events seemed to be missing.
+	rejected int64
 	// resumed is true until the first new event of a resumed attempt.
 	resumed bool
 }
 
+// SetNumbering sets what is known of the ids of the stream's source. It is Unknown by default.
+func (s *Splitter) SetNumbering(n Numbering) { s.numbering = n }
+
+// Uneven reports whether the ids have increased unevenly; known is false for a stream that is too
+// short to tell.
+func (s *Splitter) Uneven() (uneven, known bool) {
+	return s.uneven, s.uneven || s.evenSteps >= minKnownSteps
+}
+
 // StartAfter records that the caller has received the stream up to the event with this id.
 func (s *Splitter) StartAfter(id int64) { s.lastID, s.hasLastID, s.resumed = id, true, true }
 
@@ -135,15 +151,35 @@
 		}
 		return false, fault.Newf(fault.Unknown, "retry the request", "event %d received after event %d", id, s.lastID)
 	}
-	if s.idStep > 0 && id-s.lastID != s.idStep {
-		return false, fault.Newf(fault.Unknown, "retry the request", "received event %d, expected %d", id, s.lastID+s.idStep)
+	if err := s.checkStep(id); err != nil {
+		return false, err
 	}
-	s.idStep = id - s.lastID
 	s.lastID = id
 	s.resumed = false
 	return true, nil
 }
 
+// checkStep compares the step from the last id to this one with the steps before it. Another step
+// means that events are missing, unless the ids increase unevenly.
+func (s *Splitter) checkStep(id int64) error {
+	step := id - s.lastID
+	switch {
+	case s.idStep == 0:
+		s.idStep = step
+	case step != s.idStep && s.resumed && id == s.rejected:
+		s.uneven = true // another endpoint numbers its next event alike, so none is missing
+	case step != s.idStep && s.evenSteps >= s.numbering.minEvenSteps():
+		s.uneven, s.rejected = true, id
+		return fault.Newf(fault.Unknown, "retry the request", "received event %d, expected %d", id, s.lastID+s.idStep)
+	case step != s.idStep:
+		s.uneven = true
+	}
+	if !s.uneven {
+		s.evenSteps++
+	}
+	return nil
+}
+
 // eventLength returns the length of the first complete event, including the empty line that
 // terminates it; -1 if there is none. Its end is looked for from the offset from on. scanned is that
 // offset for the next call, when more data has been appended; zero after a complete event.
--- a/eventstream/eventstream_test.go
+++ b/eventstream/eventstream_test.go
@@ -111,6 +111,85 @@
 	is.Equal(last, int64(14))
 }
 
+// unevenEvents returns events that are numbered by the tokens up to their end.
+func unevenEvents(ids ...int) string {
+	text := ""
+	for _, id := range ids {
+		text += fmt.Sprintf("id: %d\ndata: part %d\n\n", id, id)
+	}
+	return text
+}
+
+// TestUnevenIDs guards against a whole stream that is cut because its ids do not increase by one step,
+// and against a missing event that is not found where they do.
+func TestUnevenIDs(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		numbering Numbering
+		attempts  []string
+		whole     bool
+	}{
+		{"uneven from the first steps on", Unknown, []string{unevenEvents(4, 8, 11, 15, 17, 40)}, true},
+		{"uneven source", Uneven, []string{unevenEvents(4, 8, 12, 16, 17)}, true},
+		{"uneven source, resumed", Uneven, []string{unevenEvents(4, 8, 12), unevenEvents(13, 17)}, true},
+		{"another endpoint numbers alike", Unknown, []string{unevenEvents(4, 8, 12, 13), unevenEvents(13, 17)}, true},
+		{"even source", Even, []string{unevenEvents(1, 2, 4)}, false},
+		{"even stream", Unknown, []string{unevenEvents(1, 2, 3, 5)}, false},
+		{"even stream, resumed", Unknown, []string{unevenEvents(1, 2, 3), unevenEvents(5)}, false},
+		{"another endpoint has the missing event", Unknown, []string{unevenEvents(1, 2, 3, 5), unevenEvents(4, 5)}, true},
+		{"decreasing", Uneven, []string{unevenEvents(4, 8, 7)}, false},
+		{"repeated", Uneven, []string{unevenEvents(4, 8, 8)}, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var s Splitter
+			s.SetNumbering(c.numbering)
+			var err error
+			for i, attempt := range c.attempts {
+				if i > 0 {
+					s.Resume()
+				}
+				_, err = s.Add([]byte(attempt))
+			}
+			is.Equal(err == nil, c.whole)
+		})
+	}
+}
+
+// TestNumberingIsLearned guards against sources that never count as uneven, so that their streams are
+// cut for ever, and against a faulty source, some of whose streams lack events, that does.
+func TestNumberingIsLearned(t *testing.T) {
+	is := is.New(t)
+	var n Numberings
+	read := func(source, text string) error {
+		var s Splitter
+		s.SetNumbering(n.Of(source))
+		_, err := s.Add([]byte(text))
+		n.Observe(source, &s)
+		return err
+	}
+	cut := 0
+	for range 40 {
+		if read("uneven", unevenEvents(4, 8, 12, 13, 17)) != nil {
+			cut++
+		}
+	}
+	is.True(cut <= minStreams)
+	is.Equal(n.Of("uneven"), Uneven)
+	for i := range 200 {
+		text := events(1, 6)
+		if i%10 == 0 {
+			text = unevenEvents(1, 2, 3, 5, 6) // one in ten lacks an event
+		}
+		is.Equal(read("faulty", text) != nil, i%10 == 0)
+	}
+	is.Equal(n.Of("faulty"), Even)
+	is.Equal(n.Of("other"), Unknown)
+	is.NoErr(read("short", events(1, 2)))
+	_, known := n.sources["short"]
+	is.True(!known)
+}
+
 // TestPartialEventIsScannedOnce guards against an event without an end that is scanned again with each
 // of its bytes: an endpoint that sends single bytes would occupy the processor.
 func TestPartialEventIsScannedOnce(t *testing.T) {
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -210,6 +210,8 @@
 	if len(a.tried) > 1 || a.headWritten {
 		a.splitter.Resume()
 	}
+	a.splitter.SetNumbering(s.numberings.Of(a.request.pool))
+	defer func() { s.numberings.Observe(a.request.pool, &a.splitter) }()
 	for {
 		events, err, splitErr := a.splitter.ReadEvents(r.Body)
 		if len(events) > 0 {
--- a/routed/server.go
+++ b/routed/server.go
@@ -19,6 +19,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/reach"
 	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
+	"github.com/lilackeel/lilackeel/eventstream"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
@@ -136,6 +137,8 @@
 	firstChunkTimes firstChunkTimes
 	// streamLengths estimates the number of chunks of streams.
 	streamLengths streamLengths
+	// numberings learns how the endpoints of each pool number the events of streams.
+	numberings eventstream.Numberings
 	// pathDelays estimates the delay of chunks on the path from each zone.
 	pathDelays pathDelays
 	// placement is the latest capacity of the groups.
