control: a replica that has long been without a leader answers at once

A control replica that was cut off, or left out of the cluster, held each caller for up to 3 s before its 503, although another replica could have decided.

Cause: each call waited for a leader on its own, from its own beginning.

Change: the time for which no leader has been known counts as well. A replica that has just lost its leader still waits for the next one.

Before: TestReplicaLongWithoutLeaderAnswersAtOnce failed (3.05 s instead of 0). After: it passes.

--- a/control/forward.go
+++ b/control/forward.go
@@ -70,7 +70,10 @@
 		if fault.Is(err, fault.Unknown) {
 			uncertain = err
 		}
-		if !c.retryable(err) || ctx.Err() != nil || hasMetadata(ctx, forwardedKey) || time.Since(started) > failoverTimeout {
+		// A replica that has been without a leader for longer than a failover takes may be cut off
+		// or left out of the cluster: the caller is better served by another one at once.
+		waited := max(time.Since(started), c.service.log.LeaderlessFor())
+		if !c.retryable(err) || ctx.Err() != nil || hasMetadata(ctx, forwardedKey) || waited > failoverTimeout {
 			return nil, finalError(err, uncertain)
 		}
 		waitForLeaderChange(ctx, changed)
--- a/control/forward_test.go
+++ b/control/forward_test.go
@@ -68,3 +68,22 @@
 		is.True(fault.Is(err, fault.NotLeader)) // timed out
 	})
 }
+
+// A replica that is cut off or left out of the cluster must not hold its callers for the time of a
+// failover: another replica may decide at once. One that has just lost its leader waits for the next.
+func TestReplicaLongWithoutLeaderAnswersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		held := func(leaderless time.Duration) time.Duration {
+			log := &fakeLog{state: contract.NewState(), leaderless: leaderless}
+			s := &service{log: log, leadership: delayedLeadership{start: time.Now().Add(time.Hour)}}
+			c := leaderCall[controlv1.ClaimRequest, controlv1.ClaimResponse]{service: s}
+			started := time.Now()
+			_, err := c.run(t.Context())
+			is.True(fault.Is(err, fault.NotLeader))
+			return time.Since(started)
+		}
+		is.True(held(failoverTimeout/2) > failoverTimeout/2)
+		is.Equal(held(failoverTimeout+time.Millisecond), time.Duration(0))
+	})
+}
--- a/control/leadership_test.go
+++ b/control/leadership_test.go
@@ -21,6 +21,8 @@
 type fakeLog struct {
 	state     *contract.State
 	readDelay time.Duration
+	// leaderless is for how long no leader has been known.
+	leaderless time.Duration
 
 	mu    sync.Mutex
 	index uint64
@@ -40,6 +42,7 @@
 
 func (l *fakeLog) Leader() (uint64, string, uint64, bool) { return 1, "", 1, true }
 func (l *fakeLog) LeaderChanged() <-chan struct{}         { return nil }
+func (l *fakeLog) LeaderlessFor() time.Duration           { return l.leaderless }
 
 func (l *fakeLog) Applied() uint64 {
 	l.mu.Lock()
--- a/control/replica.go
+++ b/control/replica.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/fault"
@@ -17,6 +18,8 @@
 	// Leader returns the leader and its term as far as this replica knows, and whether it is
 	// this replica.
 	Leader() (id uint64, addr string, term uint64, self bool)
+	// LeaderlessFor returns for how long this replica has known no leader; zero if it knows one.
+	LeaderlessFor() time.Duration
 	// LeaderChanged returns a channel that is closed when the leader or the term changes.
 	LeaderChanged() <-chan struct{}
 	// Applied returns the index up to which the state is applied.
--- a/replica/server/loop.go
+++ b/replica/server/loop.go
@@ -146,6 +146,9 @@
 	s.mu.Lock()
 	before := s.leader
 	if changed != before {
+		if changed.id == 0 && before.id != 0 {
+			s.leaderless = time.Now()
+		}
 		s.leader = changed
 		close(s.leaderChanged)
 		s.leaderChanged = make(chan struct{})
--- a/replica/server/server.go
+++ b/replica/server/server.go
@@ -147,6 +147,7 @@
 
 	mu            sync.Mutex
 	leader        leaderInfo
+	leaderless    time.Time // since when no leader has been known
 	leaderChanged chan struct{}
 	failure       error
 }
@@ -188,8 +189,8 @@
 	}
 	s := &Server{
 		cfg: cfg, log: cfg.Logger.With("replica", cfg.ID), node: node, wal: log, transport: cfg.Transport,
-		started: time.Now(),
-		inbox:   make(chan *pb.Message, inboxSize), proposals: make(chan *proposal, proposalsSize), loopCalls: make(chan func()),
+		started: time.Now(), leaderless: time.Now(),
+		inbox: make(chan *pb.Message, inboxSize), proposals: make(chan *proposal, proposalsSize), loopCalls: make(chan func()),
 		reads: map[uint64]chan replica.ReadState{}, closing: make(chan struct{}), done: make(chan struct{}),
 		leaderChanged: make(chan struct{}),
 	}
@@ -273,6 +274,16 @@
 	return s.leader.id, s.leader.addr, s.leader.term, s.leader.self
 }
 
+// LeaderlessFor returns for how long this replica has known no leader; zero if it knows one.
+func (s *Server) LeaderlessFor() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader.id != 0 {
+		return 0
+	}
+	return time.Since(s.leaderless)
+}
+
 // LeaderChanged returns a channel that is closed when the leader or the term
 // changes. Obtain it before calling Leader, so that no change is missed.
 func (s *Server) LeaderChanged() <-chan struct{} {
--- a/replica/server/server_test.go
+++ b/replica/server/server_test.go
@@ -397,7 +397,9 @@
 		_, err = old.Propose(ctx, []byte("no leader"))
 		is.Equal(fault.KindOf(err), fault.NoQuorum)
 		is.Equal(fault.KindOf(<-read), fault.NoQuorum)
-		c.propose("after")
+		time.Sleep(time.Second)
+		is.True(old.LeaderlessFor() >= time.Second) // counted from the loss, not from the last call
+		is.Equal(h.replicas[c.propose("after")].LeaderlessFor(), time.Duration(0))
 		is.NoErr(ctx.Err())
 	})
 }
