--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -104,6 +104,28 @@
 	is.New(t).Equal(len(f.Service.Effects()), effects+2)
 }
 
+// TestBodyMemoryIsReleased guards against bodies that stay charged after their requests have ended,
+// whether they were answered, refused or could not be parsed.
+func TestBodyMemoryIsReleased(t *testing.T) {
+	f := start(t, overhead.FleetConfig{ConfigureEntry: func(c *entry.Config) { c.BodyMemory = 6000 }})
+	for range 4 {
+		for _, c := range []struct {
+			path, body string
+			status     int
+		}{
+			{"/v1/chat/completions", chat(1, false) + strings.Repeat(" ", 2000), 200},
+			{"/v1/chat/completions", strings.Repeat(" ", 2000), 400},
+			{overhead.ServicePrefix + "/swap", strings.Repeat("x", 2000), 200},
+			{overhead.ServicePrefix + "/duties/../swap", strings.Repeat("x", 2000), 400},
+		} {
+			is := is.New(t)
+			got := send(t.Context(), f, "POST", c.path, c.body)
+			is.NoErr(got.err)
+			is.Equal(got.status, c.status)
+		}
+	}
+}
+
 // TestInvalidRequests sends each kind of invalid request that the entry detects. Each gets its own
 // status and a typed error with a remedy, and nothing is run.
 func TestInvalidRequests(t *testing.T) {
--- a/replica/server/logbytes_test.go
+++ b/replica/server/logbytes_test.go
@@ -43,15 +43,18 @@
 	return s, machine
 }
 
-// untilLed calls f until the replica knows a leader.
-func untilLed(f func() error) error {
-	for {
-		err := f()
+// waitTimeout bounds the waits of tests. No test measures it.
+const waitTimeout = 30 * time.Second
+
+// untilLed calls f until the replica knows a leader, and returns its last error.
+func untilLed(f func() error) (err error) {
+	for end := time.Now().Add(waitTimeout); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		err = f()
 		if !fault.Is(err, fault.NotLeader) && !fault.Is(err, fault.NoQuorum) {
 			return err
 		}
-		time.Sleep(5 * time.Millisecond)
 	}
+	return err
 }
 
 // readCommitted waits until everything committed has been applied.
@@ -111,9 +114,10 @@
 	<-files.reached
 	files.armed.Store(false)
 	files.release <- struct{}{}
-	for err != nil {
+	for end := time.Now().Add(waitTimeout); err != nil && time.Now().Before(end); {
 		err = propose(change)
 	}
+	is.NoErr(err) // there is room again
 	is.NoErr(s.Close())
 	restarted, again := openDocument(t, dir, nil)
 	is.NoErr(readCommitted(t, restarted))
@@ -167,7 +171,10 @@
 		is.NoErr(propose(s, confirmed+1))
 	}
 	size, reserve := directorySize(disk.dir)
-	for ; reserve < DefaultSnapshotReserve; size, reserve = directorySize(disk.dir) {
+	for end := time.Now().Add(waitTimeout); reserve < DefaultSnapshotReserve; size, reserve = directorySize(disk.dir) {
+		if time.Now().After(end) {
+			t.Fatalf("timed out waiting until the reserve is occupied; it has %d bytes", reserve)
+		}
 		time.Sleep(time.Millisecond)
 	}
 	full := size + reserve + 100 // another process has filled the rest of the disk
--- a/routed/bodies_test.go
+++ b/routed/bodies_test.go
@@ -35,9 +35,7 @@
 		return c
 	}
 	slow := begin("b")
-	for b.server.Bodies.Held() == 0 { // the slow caller's body is charged before it arrives
-		time.Sleep(time.Millisecond)
-	}
+	b.waitUntil("the slow caller's body is charged before it arrives", func() bool { return b.server.Bodies.Held() > 0 })
 	for _, chunked := range []bool{false, true} {
 		r, err := http.NewRequest(http.MethodPost, b.frontend.URL+"/once/large", io.MultiReader(strings.NewReader(body)))
 		is.NoErr(err)
@@ -60,14 +58,10 @@
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.NoErr(slow.Close())
-	for b.server.Bodies.Held() > 0 {
-		time.Sleep(time.Millisecond)
-	}
+	b.waitUntil("the charge of a caller that has left ends", func() bool { return b.server.Bodies.Held() == 0 })
 	response, _, err = b.do(http.MethodPost, "/once/large", body, nil)
 	is.NoErr(err)
 	is.Equal(response.StatusCode, http.StatusOK)
 	is.Equal(len(b.requests()), 2)
-	for b.server.Bodies.Held() > 0 { // a response ends the charge
-		time.Sleep(time.Millisecond)
-	}
+	b.waitUntil("a response ends the charge", func() bool { return b.server.Bodies.Held() == 0 })
 }
--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -188,6 +188,18 @@
 	}
 }
 
+// waitTimeout bounds the waits of tests. No test measures it.
+const waitTimeout = 20 * time.Second
+
+func (b *testEntry) waitUntil(condition string, holds func() bool) {
+	b.t.Helper()
+	for end := time.Now().Add(waitTimeout); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			b.t.Fatalf("timed out waiting until %s", condition)
+		}
+	}
+}
+
 func (b *testEntry) requests() []*http.Request {
 	b.mu.Lock()
 	defer b.mu.Unlock()
