routed: long responses that are held share the memory for bodies

Events without an end, and responses that are buffered, were held up to 1 MiB each and counted nowhere. A few dozen endpoints in trouble could take the memory of an entry on a small host together, and all that it carries with it.

Change: what exceeds 64 KiB is charged to the memory for bodies as it grows. A response for which that has no room is passed on unbuffered; a stream with such an event is cut.

TestHeldResponsesShareMemory: 24 streams with events of 700 KB, a long response and a small one on 8 MiB; the charge stays within it and ends with them. Without the charge of streams it fails. Responses up to 64 KiB take the same way as before.

--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -69,6 +69,9 @@
 // Partial reports whether the data of the attempt so far ends within an event.
 func (s *Splitter) Partial() bool { return len(bytes.TrimSpace(s.buffer[s.partial:])) > 0 }
 
+// Held returns how many bytes the splitter holds.
+func (s *Splitter) Held() int { return cap(s.buffer) }
+
 // Resume starts another attempt, which continues after the last emitted event.
 func (s *Splitter) Resume() {
 	s.buffer, s.partial, s.scanned = s.buffer[:0], 0, 0
--- a/routed/bodies_test.go
+++ b/routed/bodies_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -65,3 +66,43 @@
 	is.Equal(len(b.requests()), 2)
 	b.waitUntil("a response ends the charge", func() bool { return b.server.Bodies.Held() == 0 })
 }
+
+// TestHeldResponsesShareMemory guards against responses that fill the memory of the entry together:
+// events that do not end at many endpoints at once, and long responses. Long responses are passed on
+// unbuffered when there is no room, and small ones are served all the while.
+func TestHeldResponsesShareMemory(t *testing.T) {
+	is := is.New(t)
+	b := newTestEntry(t)
+	const limit, streams = 8 << 20, 24
+	b.server.Bodies = memory.NewBudget(limit)
+	b.server.config.MaxBufferedBytes = 1 << 20
+	long := strings.Repeat("x", 700<<10)
+	b.addRawEndpoint("e1", func(e *rawEndpoint, c *net.TCPConn, r *http.Request) {
+		switch {
+		case strings.HasPrefix(r.URL.Path, "/stream/"):
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nContent-Type: text/event-stream\r\n\r\ndata: "+long)
+			e.repeat(c, "x", 10*time.Millisecond)
+		case r.URL.Path == "/read/long":
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTest-Signature: s\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(long), long)
+		default:
+			respondOK(e, c, r)
+		}
+	})
+	var ended sync.WaitGroup
+	for range streams {
+		ended.Go(func() { _, _, _ = b.do(http.MethodPost, "/stream/x", "body", nil) })
+	}
+	b.waitUntil("the streams hold what they may", func() bool { return b.server.Bodies.Held() > limit/2 })
+	is.True(b.server.Bodies.Held() <= limit)
+	response, text, err := b.do(http.MethodPost, "/read/long", "body", nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.True(text == long)
+	response, text, err = b.do(http.MethodPost, "/read/x", "body", nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.Equal(text, "done")
+	is.True(b.server.Bodies.Held() <= limit)
+	ended.Wait()
+	b.waitUntil("the charges end", func() bool { return b.server.Bodies.Held() == 0 })
+}
--- a/routed/deliver.go
+++ b/routed/deliver.go
@@ -1,6 +1,7 @@
 package routed
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
@@ -12,6 +13,7 @@
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/direct"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/ratelimit"
 	"github.com/lilackeel/lilackeel/site"
 )
@@ -127,21 +129,41 @@
 	return strings.HasPrefix(strings.ToLower(header.Get("Content-Type")), "text/event-stream")
 }
 
+// readBuffered reads a body until it ends or exceeds the buffer limit. Above memory.SmallBytes it is
+// charged to the memory for bodies; whole is false as well if that has no room for more.
+func (a *attempt) readBuffered(body io.Reader, charge *memory.Charge) (data []byte, whole bool, err error) {
+	limit := int64(a.server.config.MaxBufferedBytes) + 1
+	var buffer bytes.Buffer
+	for size := min(memory.SmallBytes, limit); ; size = min(2*size, limit) {
+		_, err := io.CopyN(&buffer, body, size-int64(buffer.Len()))
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer.Bytes(), true, nil
+		case err != nil:
+			return nil, false, err
+		case size == limit || charge.Resize(2*size) != nil:
+			return buffer.Bytes(), false, nil
+		}
+	}
+}
+
 // deliverBuffered delivers a response that is not a stream. It is buffered until it is
-// complete or exceeds the buffer limit.
+// complete or exceeds what may be buffered.
 func (a *attempt) deliverBuffered(r *direct.Response) attemptResult {
 	s := a.server
-	buffered, err := io.ReadAll(io.LimitReader(r.Body, int64(s.config.MaxBufferedBytes)+1))
+	charge := s.Bodies.Begin(a.request.callerName())
+	defer charge.Release()
+	buffered, whole, err := a.readBuffered(r.Body, charge)
 	if err != nil {
 		a.recordResult(a.callerCtx.Err() == nil)
 		return a.interrupted(errIncompleteResponse(err), a.checkProcess())
 	}
-	if r.Unframed && a.checkProcess() == direct.NotListening {
+	if whole && r.Unframed && a.checkProcess() == direct.NotListening {
 		a.recordResult(true)
 		return a.interrupted(errUnprovenEnd, direct.NotListening)
 	}
 	a.chunks = 1
-	if len(buffered) > s.config.MaxBufferedBytes {
+	if !whole {
 		return a.deliverUnbuffered(r, buffered)
 	}
 	a.recordResult(r.Status >= http.StatusInternalServerError)
@@ -210,6 +232,8 @@
 	if len(a.tried) > 1 || a.headWritten {
 		a.splitter.Resume()
 	}
+	charge := s.Bodies.Begin(a.request.callerName())
+	defer charge.Release()
 	a.splitter.SetNumbering(s.numberings.Of(a.request.pool))
 	defer func() { s.numberings.Observe(a.request.pool, &a.splitter) }()
 	for {
@@ -224,6 +248,8 @@
 		switch {
 		case splitErr != nil:
 			return a.streamBroken(fault.From(splitErr))
+		case a.splitter.Held() > memory.SmallBytes && charge.Resize(int64(a.splitter.Held())) != nil:
+			return a.streamBroken(errNoRoomForEvent)
 		case errors.Is(err, io.EOF) && a.splitter.Partial():
 			return a.streamBroken(errIncompleteResponse(io.ErrUnexpectedEOF))
 		case errors.Is(err, io.EOF) && r.Unframed && a.isEmpty():
@@ -339,6 +365,9 @@
 // event, or a response that ended together with the endpoint's process.
 var errUnprovenEnd = fault.New(fault.Unknown, "the endpoint closed the connection of a response that states no length and may be incomplete", "retry the request")
 
+// errNoRoomForEvent ends a stream with a long event for which the memory for bodies has no room.
+var errNoRoomForEvent = fault.New(fault.Unknown, "the memory for bodies has no room for a long event of the stream", "request shorter events, or retry later")
+
 func errIncompleteResponse(err error) *fault.Error {
 	return fault.New(fault.Unknown, "the endpoint's response was truncated", "retry the request").WithCause(err)
 }
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -465,7 +465,7 @@
 		is.NoErr(err)
 		is.NoErr(l.Close())
 		m.calls, m.failAt = 0, failAt
-		err = Discard(options(m))
+		discardErr := Discard(options(m))
 		failed := m.failedOperation != ""
 		m.crash()
 		l, state, openErr := Open(options(m))
@@ -484,7 +484,7 @@
 		is.True(len(again.Entries) == 0 && again.Snapshot == nil && again.Label.GetIdentity() != state.Label.GetIdentity())
 		is.NoErr(l.Close())
 		if !failed {
-			is.NoErr(err)
+			is.NoErr(discardErr)
 			t.Logf("%d operations", failAt-1)
 			return
 		}
