e2e: the soak cuts responses within their heads

For a quarter of the soak the last service stops within the heads of its responses and closes. The check of calls that were answered and never ran covers what callers get.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -108,7 +108,10 @@
 		wg.Go(func() { s.sendRequests(ctx, rand.New(rand.NewPCG(s.seed, uint64(i))), i) })
 	}
 	wg.Go(func() { s.checkRateLimit(t) })
-	wg.Go(func() { s.checkRetryAfter(t) })
+	wg.Go(func() {
+		s.checkRetryAfter(t)
+		s.cutResponses(t)
+	})
 	s.acceptIntents(ctx, t)
 	wg.Wait()
 	faultsEnded := time.Now()
@@ -242,6 +245,15 @@
 	s.setFaults(t, last, standin.Faults{})
 }
 
+// cutResponses makes the last service stop within the heads of its responses and close, for a quarter
+// of the test. None of them may look like an answer; see observations.violations.
+func (s *soak) cutResponses(t *testing.T) {
+	last := len(s.serviceAddrs) - 1
+	s.setFaults(t, last, standin.Faults{RawResponse: "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Le"})
+	time.Sleep(*soakDuration/4 - faultFreeTime/2)
+	s.setFaults(t, last, standin.Faults{})
+}
+
 // agentRestarts returns how often the agent of a service was stopped or killed since a time,
 // including a stop or kill that was still in progress at that time.
 func (s *soak) agentRestarts(service int, since time.Time) int {
