workspace, overload, endpoint/speed: tests of three guards that had none

The tie within one level when a full queue makes room, the time for which a level must fit before it is readmitted whole, and the expiry of one endpoint's report beside fresh ones.

--- a/endpoint/speed/speed_test.go
+++ b/endpoint/speed/speed_test.go
@@ -53,3 +53,17 @@
 		tracker.Slowdown(0, "e")
 	}
 }
+
+// TestReportExpiresBesideFreshOnes guards against an endpoint that stays slow by a lost report while
+// the reports of others go on.
+func TestReportExpiresBesideFreshOnes(t *testing.T) {
+	is := is.New(t)
+	tracker := New()
+	tracker.Report(0, "e", 2)
+	tracker.Report(reportTTL, "other", 3)
+	is.Equal(tracker.Slowdown(reportTTL, "e"), 2.0)
+	is.Equal(tracker.Slowdown(reportTTL+1, "e"), 1.0)
+	is.Equal(tracker.CountSlow(reportTTL+1, func(string) bool { return true }), 1)
+	tracker.Report(reportTTL+1, "e", 2.1)
+	is.Equal(tracker.Slowdown(reportTTL+1, "e"), 2.1) // not held to the value that has expired
+}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -199,3 +199,21 @@
 		s.Publish(0, "0", pools)
 	}
 }
+
+// Guards against a level that is admitted whole as soon as its demand fits for a moment: the requests
+// that were shed return at once.
+func TestLevelIsReadmittedAfterItHasFitted(t *testing.T) {
+	is := is.New(t)
+	c := NewController(0)
+	shedding := func(now time.Duration, rate float64) bool {
+		c.Update(now, demandOf(100, rate))
+		return c.Decision().Shedding
+	}
+	is.True(shedding(0, 200))
+	is.True(shedding(time.Second, 50))
+	is.True(shedding(time.Second+readmitAfter-1, 50))
+	is.True(shedding(time.Second+readmitAfter, 200)) // it has not fitted all the while
+	is.True(shedding(2*time.Second, 50))
+	is.True(shedding(2*time.Second+readmitAfter-1, 50))
+	is.True(!shedding(2*time.Second+readmitAfter, 50))
+}
--- a/workspace/levels_test.go
+++ b/workspace/levels_test.go
@@ -146,3 +146,21 @@
 		is.True(started[level] >= total*15/1000 && started[level] <= total*25/1000)
 	}
 }
+
+// Guards against a request that displaces one of its own level although its workspace already has as
+// many queued as any other, and against one of a workspace with few that does not.
+func TestDisplacementWithinLevelEvensQueues(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(Config{Levels: true, MaxQueued: 4, MaxWait: time.Hour}, 1, map[string]Limits{"a": {}, "b": {}, "c": {}})
+	fillQueue(t, sim, Request{Workspace: "a", Level: 5}, 2)
+	fillQueue(t, sim, Request{Workspace: "b", Level: 5}, 2)
+	_, _, err := sim.arrive(Request{Workspace: "a", Level: 5})
+	is.True(fault.Is(err, fault.Overloaded))
+	_, refusals := sim.Tick(sim.now)
+	is.Equal(len(refusals), 0)
+	_, decision, err := sim.arrive(Request{Workspace: "c", Level: 5})
+	is.NoErr(err)
+	is.Equal(decision, Queued)
+	_, refusals = sim.Tick(sim.now)
+	is.Equal(len(refusals), 1)
+}
