replica: a failing test of a disk that is lost while another voter is replaced

The replaced voter is back, but the leader counts votes by its own membership and can't be elected, and the others' logs are behind.

The test shows it in one scenario.

--- a/replica/replacement_test.go
+++ b/replica/replacement_test.go
@@ -177,3 +177,30 @@
 	is.Equal(len(follower.messages), 1)
 	is.Equal(follower.messages[0].GetTo(), leader.id)
 }
+
+// A voter is down, and the leader replaces it by the standby; before the other voter has
+// stored that change it loses its disk. When all are back, the cluster must recover: one
+// disk of three was lost.
+func TestDiskLostWhileAnotherVoterIsReplaced(t *testing.T) {
+	s := startManaged(t, 7, 3, 1)
+	leader := s.leader()
+	down, wiped := s.others(leader)[0], s.others(leader)[1]
+	down.kill()
+	s.intercept = func(m *pb.Message) bool { // the change is sent and does not arrive
+		return m.To == wiped.id && len(m.Entries) > 0 && m.Entries[len(m.Entries)-1].Kind == pb.EntryKind_ENTRY_KIND_MEMBERSHIP
+	}
+	s.until(40*simElection, "the change is proposed", func() bool {
+		return FindMember(leader.node.Membership(), down.id) == nil || len(voters(leader.node.Membership())) > 3
+	})
+	wiped.kill()
+	s.run(3 * simElection)
+	s.intercept = nil
+	down.start()
+	wiped.join = true
+	wiped.replace(s.blankDisk())
+	for _, h := range []*host{down, wiped, leader} {
+		s.untilMember(h)
+	}
+	s.commitSomewhere()
+	s.checkHistory()
+}
