--- a/eventstream/eventstream.go
+++ b/eventstream/eventstream.go
@@ -53,8 +53,8 @@
 // SetNumbering sets what is known of the ids of the stream's source. It is Unknown by default.
 func (s *Splitter) SetNumbering(n Numbering) { s.numbering = n }
 
-// Uneven reports whether the ids have increased unevenly; known is false for a stream that is too
-// short to tell.
+// Uneven reports whether the ids have increased unevenly; known is false for a stream with too few
+// events.
 func (s *Splitter) Uneven() (uneven, known bool) {
 	return s.uneven, s.uneven || s.evenSteps >= minKnownSteps
 }
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -84,10 +84,10 @@
 //
 // # Removed replicas
 //
-// A replica may be replaced while it does not run or hears nothing, and it never
-// receives the entry that removes it. It finds out in one of two ways. A replica
-// that has not heard from a leader for two election timeouts sends register to all
-// replicas it knows, again and again; each member refuses a disk that its committed
+// A replica may be replaced while it is down or partitioned, and it never receives
+// the entry that removes it. It is informed in one of two ways. A replica that has
+// not received a message from a leader for two election timeouts sends register to
+// all replicas it knows, repeatedly; each member refuses a disk that its committed
 // membership does not name. And the membership lists the replicas that were removed
 // last, with their addresses; the leader notifies them until they have joined again,
 // in case none of the replicas that they know runs any more.
--- a/replica/join.go
+++ b/replica/join.go
@@ -19,7 +19,7 @@
 }
 
 // knownReplicas returns the ids of the replicas of the settings, of the members and
-// of the leader that this replica has heard from, sorted.
+// of the last leader that sent messages to this replica, sorted.
 func (n *Node) knownReplicas() []uint64 {
 	known := map[uint64]bool{}
 	for id := range n.cfg.Peers {
--- a/replica/removal.go
+++ b/replica/removal.go
@@ -8,7 +8,7 @@
 )
 
 // A replica may miss the entry that removes it, because the leader sends no entries
-// to replicas that are not members. So a replica that hears from no leader asks
+// to replicas that are not members. So a replica without a leader queries the others
 // (askForMembership), and the leader notifies the removed replicas that the
 // membership lists until they have joined again (notifyRemoved).
 
@@ -40,7 +40,7 @@
 	return slices.DeleteFunc(members, func(member *pb.Member) bool { return member.GetId() == id })
 }
 
-// withoutLeader reports whether this replica has not heard from a leader for
+// withoutLeader reports whether this replica has received no message from a leader for
 // admissionTimeouts election timeouts.
 func (n *Node) withoutLeader() bool {
 	return n.role != Leader && n.now-n.lastLeaderContact >= admissionTimeouts*n.cfg.ElectionTimeout
@@ -54,8 +54,8 @@
 	}
 }
 
-// notifyRemoved tells the removed replicas where the leader is and that their disks
-// are no members. The leader calls it at each tick.
+// notifyRemoved sends the removed replicas the address of the leader and the index of
+// the membership that does not name their disks. The leader calls it at each tick.
 func (n *Node) notifyRemoved() {
 	if n.now < n.nextNotice || n.members.index() > n.log.committed {
 		return
