--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -14,10 +14,10 @@
 	"google.golang.org/grpc"
 
 	"github.com/lilackeel/lilackeel/agent/ranks"
-	httpanswer "github.com/lilackeel/lilackeel/answer"
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/telemetry"
 	"github.com/lilackeel/lilackeel/wait"
@@ -31,8 +31,8 @@
 	drainPollInterval = 20 * time.Millisecond
 	// readyPollInterval is the interval at which a starting agent checks whether it is ready.
 	readyPollInterval = 20 * time.Millisecond
-	// stepsHeaderTimeout is the time limit for reading the headers of a step request.
-	stepsHeaderTimeout = 5 * time.Second
+	// stepsShare is the share of the descriptors that engines that are ranks may use.
+	stepsShare = 1.0 / 8
 )
 
 // stoppingReason is the reason that a stopping agent gives for not being ready.
@@ -53,6 +53,7 @@
 	pool       *link.Pool
 	pollers    []*poller
 	ranks      *ranks.Ranks
+	resources  *inbound.Resources
 
 	listener net.Listener
 	// steps is the listener for step requests; nil if the agent serves no rank.
@@ -62,6 +63,9 @@
 // Ready returns the readiness of the agent.
 func (d *Daemon) Ready() *telemetry.Ready { return d.ready }
 
+// Resources implements daemon.Daemon.
+func (d *Daemon) Resources() *inbound.Resources { return d.resources }
+
 // Listen opens the agent's listeners and returns the address of its gRPC service. Run calls Listen if
 // it has not been called.
 func (d *Daemon) Listen(ctx context.Context) (string, error) {
@@ -131,7 +135,7 @@
 // serveSteps serves step requests of ranks until ctx ends. That is after the calls in flight have
 // ended, because an engine needs further steps to finish them.
 func (d *Daemon) serveSteps(ctx context.Context) {
-	server := &http.Server{Handler: httpanswer.CloseAfterChunks(d.ranks.Handler()), ReadHeaderTimeout: stepsHeaderTimeout}
+	server := inbound.NewServer(inbound.Config{Name: "steps", MaxConnections: d.resources.Share(stepsShare), Logger: d.logger}, d.resources, d.ranks.Handler())
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(d.steps); !errors.Is(err, http.ErrServerClosed) {
@@ -252,6 +256,8 @@
 	}
 }
 
+func newResources(s *Settings) *inbound.Resources { return s.Inbound.Resources() }
+
 // newServer returns a gRPC server with the agent's service registered.
 func newServer(s *Settings, agent *service) (*grpc.Server, error) {
 	options, err := link.ServerOptions(s.Link)
--- a/agent/settings.go
+++ b/agent/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/gate"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/setting"
 	"github.com/lilackeel/lilackeel/telemetry"
@@ -48,6 +49,8 @@
 	// limit.
 	StopLimit time.Duration
 
+	// Inbound limits what the clients of the HTTP and gRPC listeners may hold.
+	Inbound inbound.ResourceConfig
 	// Link and Telemetry are the settings that all daemons have in common.
 	Link      link.Config
 	Telemetry telemetry.Config
@@ -72,6 +75,7 @@
 	set.String(&s.EndpointsFile, "endpoints", "", "YAML file that describes the endpoints of the host", setting.Required)
 	s.registerLimits(set)
 	s.Telemetry.AdminListen = defaultAdminListen
+	inbound.RegisterSettings(set, &s.Inbound)
 	link.Settings(set, &s.Link)
 	telemetry.RegisterSettings(set, &s.Telemetry)
 	set.Check(func() error { return s.Link.CheckListen(s.Listen) })
--- a/agent/wire.go
+++ b/agent/wire.go
@@ -30,11 +30,12 @@
 		newService,
 		newServer,
 		newPool,
+		newResources,
 		newControls,
 		newAnnouncer,
 		telemetry.NewReady,
 		wire.Struct(new(Daemon), "settings", "logger", "ready", "lockedGate", "service", "server",
-			"feed", "announcer", "controls", "client", "pool", "pollers", "ranks"),
+			"feed", "announcer", "controls", "client", "pool", "pollers", "ranks", "resources"),
 	)
 	return nil, nil
 }
--- a/agent/wire_gen.go
+++ b/agent/wire_gen.go
@@ -42,6 +42,7 @@
 	}
 	agentAnnouncer := newAnnouncer(settings, agentLockedGate, agentControls, agentLoadedState, agentHealth, logger)
 	v := newPollers(settings, agentLockedGate, agentEndpointClient, agentReportBuffer, agentLoadedState, agentHealth, logger)
+	resources := newResources(settings)
 	daemon := &Daemon{
 		settings:   settings,
 		logger:     logger,
@@ -56,6 +57,7 @@
 		pool:       pool,
 		pollers:    v,
 		ranks:      ranks,
+		resources:  resources,
 	}
 	return daemon, nil
 }
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -14,6 +14,7 @@
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/replica/server"
 	"github.com/lilackeel/lilackeel/telemetry"
@@ -45,6 +46,8 @@
 	server   *grpc.Server
 	calls    *callTracker
 	pool     *link.Pool
+	// resources are shared by all listeners of the replica.
+	resources *inbound.Resources
 
 	listener net.Listener
 }
@@ -52,6 +55,9 @@
 // Ready returns the readiness state, for the admin listener.
 func (d *Daemon) Ready() *telemetry.Ready { return d.ready }
 
+// Resources implements daemon.Daemon.
+func (d *Daemon) Resources() *inbound.Resources { return d.resources }
+
 // Operations returns the Control service for callers in this process. It forwards what only the
 // leader can decide.
 func (d *Daemon) Operations() controlv1.ControlServer { return d.service }
--- a/control/providers.go
+++ b/control/providers.go
@@ -10,6 +10,7 @@
 	"github.com/lilackeel/lilackeel/contract"
 	"github.com/lilackeel/lilackeel/control/reconcile"
 	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/replica/server"
 )
@@ -77,6 +78,8 @@
 
 func newCallTracker() *callTracker { return &callTracker{} }
 
+func newResources(s *Settings) *inbound.Resources { return s.Inbound.Resources() }
+
 // newServer returns the gRPC server with all services of a control replica.
 func newServer(s *Settings, log *server.Server, control *service, published *feed.Server, c *callTracker) (*grpc.Server, error) {
 	options, err := link.ServerOptions(s.Link)
--- a/control/settings.go
+++ b/control/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/lilackeel/lilackeel/control/expertmap"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/rankhost"
 	"github.com/lilackeel/lilackeel/replica"
@@ -80,6 +81,8 @@
 	// unresponsive.
 	Engine func(address string) rankhost.Engine
 
+	// Inbound limits what the clients of the HTTP and gRPC listeners may hold.
+	Inbound inbound.ResourceConfig
 	// Link secures the connections. Telemetry configures logs, metrics and traces.
 	Link      link.Config
 	Telemetry telemetry.Config
@@ -111,6 +114,7 @@
 	set.Float(&s.LoadShare, "load-share", defaultLoadShare, "maximum share of a pool's endpoints that load concurrently; one always may", setting.Min(0.0), setting.Max(1.0))
 	set.String(&s.GroupsFile, "groups", "", "YAML file that describes the groups of ranks, the same at every replica; empty for none")
 	s.Telemetry.AdminListen = defaultAdminListen
+	inbound.RegisterSettings(set, &s.Inbound)
 	link.Settings(set, &s.Link)
 	telemetry.RegisterSettings(set, &s.Telemetry)
 	set.Check(func() error { return s.Link.CheckListen(s.Listen) })
--- a/control/wire.go
+++ b/control/wire.go
@@ -27,10 +27,11 @@
 		newTermManager,
 		newService,
 		newCallTracker,
+		newResources,
 		newServer,
 		telemetry.NewReady,
 		wire.Struct(new(Daemon), "settings", "logger", "ready", "log", "source", "feed",
-			"service", "terms", "server", "calls", "pool"),
+			"service", "terms", "server", "calls", "pool", "resources"),
 	)
 	return nil, nil
 }
--- a/control/wire_gen.go
+++ b/control/wire_gen.go
@@ -38,18 +38,20 @@
 	if err != nil {
 		return nil, err
 	}
+	resources := newResources(settings)
 	daemon := &Daemon{
-		settings: settings,
-		logger:   logger,
-		ready:    ready,
-		log:      server,
-		source:   controlFeedSource,
-		feed:     feedServer,
-		service:  controlService,
-		terms:    controlTermManager,
-		server:   grpcServer,
-		calls:    controlCallTracker,
-		pool:     pool,
+		settings:  settings,
+		logger:    logger,
+		ready:     ready,
+		log:       server,
+		source:    controlFeedSource,
+		feed:      feedServer,
+		service:   controlService,
+		terms:     controlTermManager,
+		server:    grpcServer,
+		calls:     controlCallTracker,
+		pool:      pool,
+		resources: resources,
 	}
 	return daemon, nil
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/setting"
 	"github.com/lilackeel/lilackeel/telemetry"
 	"github.com/lilackeel/lilackeel/wait"
@@ -26,6 +27,8 @@
 type Daemon interface {
 	// Ready reports whether the daemon accepts new work.
 	Ready() *telemetry.Ready
+	// Resources are what the HTTP listeners of the daemon share.
+	Resources() *inbound.Resources
 	// Run serves until ctx ends and then stops without interrupting work in progress.
 	Run(ctx context.Context) error
 }
@@ -103,7 +106,7 @@
 	if err != nil {
 		return err
 	}
-	admin, err := telemetry.ServeAdmin(*p.Telemetry, d.Ready(), logger)
+	admin, err := telemetry.ServeAdmin(*p.Telemetry, d.Ready(), d.Resources(), logger)
 	if err != nil {
 		return err
 	}
--- a/entry/body.go
+++ b/entry/body.go
@@ -8,6 +8,7 @@
 	"github.com/lilackeel/lilackeel/answer"
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/memory"
 )
 
@@ -20,6 +21,7 @@
 	if r.ContentLength > s.config.MaxBodyBytes {
 		return s.errBodyTooLarge()
 	}
+	defer inbound.HeadOf(r.Context()).AwaitBody()()
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
 	q.bodyCharge = s.Bodies.Begin(q.workspace.GetName())
--- a/entry/config.go
+++ b/entry/config.go
@@ -1,15 +1,14 @@
 package entry
 
 import (
-	"math"
 	"strings"
-	"syscall"
 	"time"
 
 	"github.com/lilackeel/lilackeel/answer"
 
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/overload"
 	"github.com/lilackeel/lilackeel/routed"
@@ -38,8 +37,8 @@
 	DefaultDeadline, MaxDeadline time.Duration
 	// MaxBodyBytes and MaxHeaderBytes limit the size of a request.
 	MaxBodyBytes, MaxHeaderBytes int64
-	// BodyMemory limits the memory for the bodies of all requests together; each is charged twice, as the
-	// buffers of its connections may hold it again. Zero is no limit.
+	// BodyMemory limits the memory for the connections, heads and bodies of all requests together; each is
+	// charged twice, as the buffers of its connections may hold it again. Zero is no limit.
 	BodyMemory int64
 	// BodyTimeout is the time in which a caller must send the body, WriteTimeout the time in which it
 	// must read one chunk of the answer.
@@ -81,6 +80,8 @@
 	// LeastShare is the share of a pool's capacity that each level of priority gets whatever the
 	// demand of higher-priority levels.
 	LeastShare float64
+	// HeaderTimeout is the time in which a caller must send the head of a request.
+	HeaderTimeout time.Duration
 	// CallerIdle is how long an idle connection of a caller is kept open.
 	CallerIdle time.Duration
 	// MaxFiles is the number of descriptors that the process may open; zero means the limit of the
@@ -123,8 +124,9 @@
 	s.Duration(&cfg.MaxRetryAfter, "max-retry-after", 2500*time.Millisecond, "longest delay after which a refused caller of a route is asked to retry", setting.Min(time.Millisecond))
 	s.Bool(&cfg.MeasureSpeed, "measure-speed", false, "judge the endpoints of all pools that report no slowdown by their response times, instead of only those of pools with a cold start")
 	s.Float(&cfg.LeastShare, "least-share", overload.DefaultLeastShare, "share of a pool's capacity that each level of priority gets whatever the demand of higher-priority ones; half the capacity for all levels together at most", setting.Min(0.0), setting.Max(0.5))
-	s.Duration(&cfg.CallerIdle, "caller-idle", idleTimeout, "how long an idle connection of a caller is kept open", setting.Min(time.Second))
-	s.Int(&cfg.MaxFiles, "max-files", 0, "descriptors that the process may open; above half as many connections of callers, an entry with -routed closes each after its response; 0 for the limit of the operating system", setting.Min(0))
+	s.Duration(&cfg.CallerIdle, "caller-idle", inbound.DefaultIdleTimeout, "how long an idle connection of a caller is kept open", setting.Min(time.Second))
+	s.Duration(&cfg.HeaderTimeout, "header-timeout", inbound.DefaultHeadTimeout, "time in which a caller must send the head of a request", setting.Min(minDeadline))
+	s.Int(&cfg.MaxFiles, "max-files", 0, "descriptors that the process may open; above half as many connections of callers, an entry with -routed closes each after its response, and above five eighths it closes idle ones to accept others; 0 for the limit of the operating system", setting.Min(0))
 	s.Duration(&cfg.DrainDelay, "drain-delay", 2*time.Second, "how long a stopping entry that is no longer ready still accepts requests", setting.Min(time.Duration(0)))
 	s.Duration(&cfg.StopLimit, "stop-limit", 30*time.Second, "longest planned stop of an entry with -routed; requests still in flight are aborted", setting.Min(time.Second))
 	telemetry.RegisterSettings(s, &cfg.Telemetry)
@@ -137,7 +139,7 @@
 	s.Duration(&cfg.DefaultDeadline, "deadline", 2*time.Minute, "deadline of requests that state none", setting.Min(minDeadline))
 	s.Duration(&cfg.MaxDeadline, "max-deadline", 15*time.Minute, "longest deadline that a request may state", setting.Min(minDeadline))
 	s.Bytes(&cfg.MaxBodyBytes, "max-body", 8<<20, "largest body of a request", setting.Min(minBodyBytes))
-	s.Bytes(&cfg.BodyMemory, "body-memory", 128<<20, "memory for the bodies of all requests, and the long responses that are held, together, each charged twice; requests that exceed it are refused; half of the host's memory at most, 0 for no limit", setting.Min(int64(0)))
+	s.Bytes(&cfg.BodyMemory, "body-memory", 128<<20, "memory for the connections of callers, the heads and bodies of their requests, and the long responses that are held, together, each charged twice; what exceeds it is refused; half of the host's memory at most, 0 for no limit", setting.Min(int64(0)))
 	s.Bytes(&cfg.MaxHeaderBytes, "max-headers", 64<<10, "largest headers of a request", setting.Min(minHeaderBytes), setting.Max(int64(1<<20)))
 	s.Duration(&cfg.BodyTimeout, "body-timeout", 30*time.Second, "time in which a caller must send the body", setting.Min(minDeadline))
 	s.Duration(&cfg.WriteTimeout, "write-timeout", time.Minute, "time in which a caller must read one chunk of the answer", setting.Min(minDeadline))
@@ -186,20 +188,6 @@
 	return &policy
 }
 
-// maxKeptConnections returns the number of callers' connections that may stay open after a response,
-// zero for no limit: half of the descriptors, since requests need others to the endpoints.
-func (cfg *Config) maxKeptConnections() int {
-	files := cfg.MaxFiles
-	if files == 0 {
-		var limit syscall.Rlimit
-		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
-			return 0
-		}
-		files = int(min(limit.Cur, math.MaxInt32))
-	}
-	return files / 2
-}
-
 // budget returns the retry budget shared by all requests.
 func (cfg *Config) budget() call.BudgetConfig {
 	return call.BudgetConfig{Ratio: cfg.RetryRatio, MinPerSecond: call.DefaultBudget.MinPerSecond, Burst: cfg.RetryBurst}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -11,11 +11,11 @@
 
 	"github.com/gravitational/trace"
 
-	"github.com/lilackeel/lilackeel/answer"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
 	"github.com/lilackeel/lilackeel/endpoint/outlier"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/routed"
 	"github.com/lilackeel/lilackeel/telemetry"
@@ -23,13 +23,10 @@
 )
 
 const (
-	// headerTimeout is the time in which a caller must send the headers.
-	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an idle connection is kept open.
-	idleTimeout = 2 * time.Minute
-	// headerHardLimit is the header size that net/http refuses without a typed error. The setting
-	// max-headers is always lower.
-	headerHardLimit = 1<<20 + 64<<10
+	// callerShare is the share of the descriptors that callers may use. Above keptShare, connections close
+	// after each response. Requests need the others to reach endpoints.
+	callerShare = 5.0 / 8
+	keptShare   = 1.0 / 2
 	// outlierCheckInterval is the interval of outlier detection.
 	outlierCheckInterval = time.Second
 	// drainQuietPeriod is how long no request must have been in flight before the connections of
@@ -55,6 +52,7 @@
 	ready      *telemetry.Ready
 	logger     *slog.Logger
 	listener   net.Listener
+	resources  *inbound.Resources
 	// stopping is set before the daemon becomes unready.
 	stopping atomic.Bool `wire:"-"`
 }
@@ -65,6 +63,9 @@
 // Ready returns the readiness of the daemon to take new requests.
 func (d *Daemon) Ready() *telemetry.Ready { return d.ready }
 
+// Resources implements daemon.Daemon.
+func (d *Daemon) Resources() *inbound.Resources { return d.resources }
+
 // Reload applies the configuration sources of the updated settings. Other settings cannot change
 // while the daemon runs.
 func (d *Daemon) Reload(updated Config) { d.feed.SetSources(updated.Feed) }
@@ -118,7 +119,7 @@
 }
 
 // stop shuts the server down after the requests in flight have finished.
-func (d *Daemon) stop(ctx context.Context, server *http.Server, failed <-chan error) error {
+func (d *Daemon) stop(ctx context.Context, server *inbound.Server, failed <-chan error) error {
 	d.stopping.Store(true)
 	d.ready.Set(false, reasonStopping)
 	d.logger.Info("stopping after the requests in flight", slog.Int64("requests", d.server.metrics.inFlight.Load()+d.routed.InFlight()))
@@ -140,7 +141,7 @@
 // that request. Instead, every answer first asks the caller to close its connection, then new
 // requests are refused, and connections are closed only after no request has been in flight for
 // drainQuietPeriod.
-func (d *Daemon) stopRouted(ctx context.Context, server *http.Server, failed <-chan error) error {
+func (d *Daemon) stopRouted(ctx context.Context, server *inbound.Server, failed <-chan error) error {
 	deadline := time.Now().Add(d.config.StopLimit)
 	d.routed.DisableKeepAlives()
 	wait.For(ctx, d.config.DrainDelay)
@@ -162,41 +163,24 @@
 
 // httpServer returns the HTTP server for callers. Unless the entry answers by routes, it supports
 // HTTP/1.1 and HTTP/2 without TLS, whichever the load balancer in front of it prefers.
-func (d *Daemon) httpServer() *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
+func (d *Daemon) httpServer() *inbound.Server {
+	config := inbound.Config{Name: "callers", MaxConnections: d.resources.Share(callerShare), RetryAfterFormat: d.config.RetryAfterFormat, Logger: d.logger}
 	if d.config.Routed {
-		return d.routedServer(protocols)
-	}
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           answer.CloseAfterChunks(d.server),
-		Protocols:         protocols,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    headerHardLimit,
-		ErrorLog:          slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
+		config.Limits, config.ConnState = d.routedLimits, d.routed.ConnState
+		return inbound.NewServer(config, d.resources, d.routed)
 	}
+	config.Limits, config.HTTP2 = d.callerLimits, true
+	return inbound.NewServer(config, d.resources, d.server)
 }
 
-// routedServer returns the HTTP server for callers of routes, whose connections are checked for
-// requests with ambiguous framing.
-func (d *Daemon) routedServer(protocols *http.Protocols) *http.Server {
-	guard := routed.FramingGuard{Listener: d.listener}
-	d.listener = guard
-	return &http.Server{
-		Handler:           answer.CloseAfterChunks(d.routed),
-		Protocols:         protocols,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       d.config.CallerIdle,
-		MaxHeaderBytes:    headerHardLimit,
-		ConnState: func(c net.Conn, state http.ConnState) {
-			guard.ConnState(c, state)
-			d.routed.ConnState(c, state)
-		},
-		ConnContext: guard.ConnContext,
-		ErrorLog:    slog.NewLogLogger(d.logger.Handler(), slog.LevelDebug),
-	}
+// callerLimits returns the limits on callers by the settings.
+func (d *Daemon) callerLimits() inbound.Limits {
+	return inbound.Limits{HeadBytes: d.config.MaxHeaderBytes, HeadTimeout: d.config.HeaderTimeout, IdleTimeout: d.config.CallerIdle}
+}
+
+// routedLimits returns the limits on callers by the published site, and by the settings where it sets none.
+func (d *Daemon) routedLimits() inbound.Limits {
+	return d.routed.Limits(d.callerLimits())
 }
 
 // runCapacityUpdates periodically updates the capacity of the pools, which limits the calls in
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -21,6 +21,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/speed"
 	"github.com/lilackeel/lilackeel/endpoint/suspicion"
 	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
@@ -59,7 +60,7 @@
 // newRouted returns the server that answers requests by the routes of the published site.
 func newRouted(
 	cfg Config, table *endpoint.Table, loads *load.Tracker, outliers *outlier.Detector, picker *pick.Picker,
-	admissions *AdmissionController, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *PermitClient, suspects *suspicion.Tracker, speeds *speed.Tracker, bodies *memory.Budget, logger *slog.Logger,
+	admissions *AdmissionController, reached *reach.Tracker, groups *lockstep.Tracker, client *direct.Client, crashes *quarantine.Tracker, permits *PermitClient, suspects *suspicion.Tracker, speeds *speed.Tracker, bodies *memory.Budget, resources *inbound.Resources, logger *slog.Logger,
 ) *routed.Server {
 	policy := cfg.policy()
 	headers := cfg.Headers
@@ -70,7 +71,7 @@
 		Name: cfg.Name, Zone: cfg.Zone, Headers: headers, RetryAfterFormat: cfg.RetryAfterFormat,
 		MaxHeaderBytes: cfg.MaxHeaderBytes, MaxBodyBytes: cfg.MaxBodyBytes,
 		BodyTimeout: cfg.BodyTimeout, WriteTimeout: cfg.WriteTimeout, MaxBufferedBytes: policy.MaxBufferedBytes,
-		Backoff: policy.Backoff, RetryAfter: cfg.RetryAfter, AccessLog: cfg.AccessLog, MaxKeptConnections: cfg.maxKeptConnections(), MeasureSpeed: cfg.MeasureSpeed,
+		Backoff: policy.Backoff, RetryAfter: cfg.RetryAfter, AccessLog: cfg.AccessLog, MaxKeptConnections: resources.Share(keptShare), MeasureSpeed: cfg.MeasureSpeed,
 	}
 	dependencies := routed.Dependencies{
 		Admitter: admissions, Picker: picker, Endpoints: table, Loads: loads, Outliers: outliers,
@@ -94,6 +95,11 @@
 	return bodies
 }
 
+// newResources returns what the HTTP listeners of the entry share. The budget is that of the bodies.
+func newResources(cfg Config, budget *memory.Budget) *inbound.Resources {
+	return inbound.NewResources(budget, cfg.MaxFiles)
+}
+
 func newReady() *telemetry.Ready { return telemetry.NewReady() }
 
 func newReach() *reach.Tracker { return reach.New() }
--- a/entry/request.go
+++ b/entry/request.go
@@ -12,6 +12,7 @@
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/endpoint/pick"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
 )
@@ -107,6 +108,7 @@
 	}
 	steps := []func(*http.Request) *call.Verdict{
 		func(r *http.Request) *call.Verdict { return s.authenticate(q, r) },
+		q.assignHead,
 		func(r *http.Request) *call.Verdict { return s.readDeadline(q, r) },
 		q.readPriority,
 		q.readKey,
@@ -122,13 +124,7 @@
 
 // checkHeaders limits the size of the headers and refuses contradictory values.
 func (s *Server) checkHeaders(r *http.Request) *call.Verdict {
-	size := int64(len(r.RequestURI))
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += int64(len(name) + len(value))
-		}
-	}
-	if size > s.config.MaxHeaderBytes {
+	if size := inbound.MinSize(r); size > s.config.MaxHeaderBytes {
 		return call.RefuseWithStatus(http.StatusRequestHeaderFieldsTooLarge, fault.Newf(fault.Invalid, "send fewer or shorter headers",
 			"the headers have %d bytes, the limit is %d", size, s.config.MaxHeaderBytes))
 	}
@@ -176,6 +172,14 @@
 	return nil
 }
 
+// assignHead makes the workspace accountable for the memory of the request's head.
+func (q *request) assignHead(r *http.Request) *call.Verdict {
+	if err := inbound.HeadOf(r.Context()).Assign(q.workspace.GetName()); err != nil {
+		return call.Refuse(fault.From(err))
+	}
+	return nil
+}
+
 func (s *Server) authenticateAnonymous(q *request, workspaceName string) *call.Verdict {
 	if s.config.AnonymousWorkspace == "" {
 		return call.Refuse(fault.New(fault.Unauthenticated, "the request carries no workspace key",
--- a/entry/wire.go
+++ b/entry/wire.go
@@ -19,7 +19,7 @@
 	wire.Build(
 		newDialOptions, NewPool, newFeed, NewDirectory, endpoint.NewTable, newTracker, newIndex, newDetector, newPicker,
 		NewAgents, NewClaims, NewReportSubscriber, NewAdmissionController, NewServer, newReady, newRelay, listen,
-		newReach, newGroups, newBodyBudget, newDirectClient, newRouted, quarantine.NewTracker, NewRateLimits, NewPermitClient, NewDemandExchange, newSuspects, speed.New,
+		newReach, newGroups, newBodyBudget, newResources, newDirectClient, newRouted, quarantine.NewTracker, NewRateLimits, NewPermitClient, NewDemandExchange, newSuspects, speed.New,
 		wire.Bind(new(Admitter), new(*AdmissionController)),
 		wire.Bind(new(Picker), new(*pick.Picker)),
 		wire.Bind(new(TargetResolver), new(*ReportSubscriber)),
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -58,7 +58,8 @@
 	reachTracker := newReach()
 	directClient := newDirectClient()
 	permitClient := NewPermitClient(rateLimits, reportSubscriber, pool)
-	routedServer := newRouted(cfg, table, loadTracker, detector, picker, admissionController, reachTracker, lockstepTracker, directClient, quarantineTracker, permitClient, suspicionTracker, tracker, budget, logger)
+	resources := newResources(cfg, budget)
+	routedServer := newRouted(cfg, table, loadTracker, detector, picker, admissionController, reachTracker, lockstepTracker, directClient, quarantineTracker, permitClient, suspicionTracker, tracker, budget, resources, logger)
 	entryRelay, err := newRelay(cfg, client, logger)
 	if err != nil {
 		return nil, err
@@ -96,6 +97,7 @@
 		ready:      ready,
 		logger:     logger,
 		listener:   listener,
+		resources:  resources,
 	}
 	return daemon, nil
 }
--- /dev/null
+++ b/inbound/inbound_test.go
@@ -0,0 +1,296 @@
+package inbound
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/lilackeel/lilackeel/memory"
+)
+
+const testTimeout = 20 * time.Second
+
+// testServer is a server whose handler waits for a receive from release if the path is /held.
+type testServer struct {
+	t       *testing.T
+	addr    string
+	budget  *memory.Budget
+	release chan struct{}
+	runs    atomic.Int32
+	heads   chan *Head
+}
+
+func newTestServer(t *testing.T, cfg Config, budget int64) *testServer {
+	t.Helper()
+	s := &testServer{t: t, budget: memory.NewBudget(budget), release: make(chan struct{}), heads: make(chan *Head, 1000)}
+	if cfg.MaxConnections == 0 {
+		cfg.MaxConnections = 100
+	}
+	cfg.Name, cfg.Logger = "test", slog.New(slog.DiscardHandler)
+	server := NewServer(cfg, NewResources(s.budget, 0), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.runs.Add(1)
+		s.heads <- HeadOf(r.Context())
+		bodyRead := HeadOf(r.Context()).AwaitBody()
+		_, _ = io.Copy(io.Discard, r.Body)
+		bodyRead()
+		if r.URL.Path == "/held" {
+			<-s.release
+		}
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.addr = l.Addr().String()
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return s
+}
+
+// client is a connection to the server.
+type client struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *testServer) dial(text string) *client {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.addr)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	_, _ = io.WriteString(c, text) // the server may close the connection meanwhile
+	return &client{c, bufio.NewReader(c)}
+}
+
+// status returns the status of the next response and its Retry-After; zero if the connection was closed.
+func (c *client) status() (status int, retryAfter string) {
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, ""
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, response.Header.Get("Retry-After")
+}
+
+// await waits until a condition holds.
+func (s *testServer) await(what string, ok func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(testTimeout); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+func (s *testServer) awaitRuns(n int32) {
+	s.t.Helper()
+	s.await(fmt.Sprint(n, " requests run"), func() bool { return s.runs.Load() == n })
+}
+
+const (
+	ordinary = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	held     = "GET /held HTTP/1.1\r\nHost: h\r\n"
+)
+
+func manyLines(lines int) string { return strings.Repeat("a:\r\n", lines) }
+
+// TestHeadIsChargedUntilItsResponse guards against a head that is charged too late, released before its response
+// has ended, or never released: while it is incomplete, while its body or its response is awaited, read ahead of
+// its turn, and after a connection that breaks off in each of these.
+func TestHeadIsChargedUntilItsResponse(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, Config{}, 64<<20)
+	const lines = 1000
+	least := int64(2 * lineCost * lines)
+	for _, text := range []string{
+		held + manyLines(lines), held + manyLines(lines) + "\r\n", held + manyLines(lines) + "Content-Length: 5\r\n\r\n",
+		held + manyLines(lines) + "Transfer-Encoding: chunked\r\n\r\n", held + "\r\n" + held + manyLines(900),
+	} {
+		c := s.dial(text)
+		want := least
+		if strings.Count(text, "GET") > 1 {
+			want = 2 * 2 * connectionCost // net/http reads one buffer ahead
+		}
+		s.await("the head is charged", func() bool { return s.budget.Held() >= want })
+		_ = c.Close()
+		for s.budget.Held() > 0 {
+			select {
+			case s.release <- struct{}{}:
+			case <-time.After(time.Millisecond):
+			}
+		}
+	}
+	c := s.dial(held + manyLines(lines) + "\r\n")
+	s.release <- struct{}{}
+	status, _ := c.status()
+	is.Equal(status, 200)
+	s.await("only the connection is charged", func() bool { return s.budget.Held() == 2*connectionCost })
+}
+
+// TestHeadLimits guards against heads that are read beyond their limit, and against the refusal of one that just
+// fits, whatever its form.
+func TestHeadLimits(t *testing.T) {
+	const limit = 8 << 10
+	s := newTestServer(t, Config{Limits: func() Limits { return Limits{HeadBytes: limit} }}, 0)
+	const end = "\r\n\r\n"
+	for name, form := range map[string][3]string{ // before the filling, the unit of the filling, after it
+		"short lines": {"GET / HTTP/1.1\r\nHost: h\r\nX: 1\r\n", "a:\r\n", "X:" + end},
+		"bare lines":  {"GET / HTTP/1.1\r\nHost: h\r\nX: 1\r\n", "a:\n", "X:" + end},
+		"folded":      {"GET / HTTP/1.1\r\nHost: h\r\nX: 1\r\n", " \r\n", "X:" + end},
+		"long line":   {"GET / HTTP/1.1\r\nHost: h\r\nX: ", "b", end},
+		"long path":   {"GET /", "b", " HTTP/1.1\r\nHost: h" + end},
+		"empty lines": {"", "\r\n", "GET / HTTP/1.1\r\nHost: h" + end},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, size := range []int{limit, limit + 1, 1 << 20} {
+				padding := size - len(form[0]) - len(form[2])
+				after := strings.TrimSuffix(form[2], end) + strings.Repeat("c", padding%len(form[1])) + end
+				request := form[0] + strings.Repeat(form[1], padding/len(form[1])) + after
+				is.Equal(len(request), size)
+				want := 200
+				if size > limit {
+					want = 431
+				}
+				status, _ := s.dial(request).status()
+				is.Equal(status, want)
+			}
+		})
+	}
+}
+
+// TestMemoryIsShort guards against a head without room that is run or held, against a refusal without Retry-After,
+// and against one workspace whose heads leave no room to another one.
+func TestMemoryIsShort(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, Config{}, 4<<20)
+	var serving []*client
+	for n := int32(1); s.budget.Held() < 2<<20; n++ {
+		serving = append(serving, s.dial(held+manyLines(1000)+"\r\n"))
+		s.awaitRuns(n)
+		is.NoErr((<-s.heads).Assign("crew"))
+	}
+	runs := s.runs.Load()
+	status, retryAfter := s.dial(held + manyLines(10_000) + "\r\n").status()
+	is.Equal(status, 503)
+	is.True(retryAfter != "")
+	is.Equal(s.runs.Load(), runs)
+	for err := error(nil); err == nil; {
+		serving = append(serving, s.dial(held+manyLines(50)+"\r\n"))
+		runs++
+		s.awaitRuns(runs)
+		err = (<-s.heads).Assign("crew")
+	}
+	s.dial(ordinary)
+	s.awaitRuns(runs + 1)
+	is.NoErr((<-s.heads).Assign("other"))
+	for range serving {
+		s.release <- struct{}{}
+	}
+	for _, c := range serving {
+		status, _ := c.status()
+		is.Equal(status, 200)
+	}
+}
+
+// TestIncompleteRequestsMakeRoom guards against incomplete heads and bodies, and idle connections, that leave an ordinary
+// request no room, and against requests in progress that are closed for one.
+func TestIncompleteRequestsMakeRoom(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, Config{}, 40*2*connectionCost)
+	serving := s.dial(held + "\r\n")
+	s.awaitRuns(1)
+	for range 100 {
+		s.dial("GET / HTTP/1.1\r\nHost: h\r\na: ")
+		s.dial(held + "Content-Length: 5\r\n\r\n")
+	}
+	for range 3 {
+		c := s.dial(ordinary)
+		status, _ := c.status()
+		is.Equal(status, 200)
+	}
+	s.release <- struct{}{}
+	status, _ := serving.status()
+	is.Equal(status, 200)
+}
+
+// TestTimeLimits guards against heads that trickle and connections that idle for ever, on connections that were
+// open when the limits came into force, and against a request in progress, or waiting for its body, that is cut.
+func TestTimeLimits(t *testing.T) {
+	is := is.New(t)
+	var limited atomic.Bool
+	s := newTestServer(t, Config{Limits: func() Limits {
+		if limited.Load() {
+			return Limits{HeadBytes: 1 << 10, HeadTimeout: time.Millisecond, IdleTimeout: time.Millisecond}
+		}
+		return Limits{HeadBytes: 1 << 10}
+	}}, 0)
+	serving := s.dial(held + "\r\nGET")
+	body := s.dial(held + "Content-Length: 1\r\n\r\n")
+	s.awaitRuns(2)
+	idle, slow, kept := s.dial(""), s.dial("GET / HTTP"), s.dial(ordinary)
+	status, _ := kept.status()
+	is.Equal(status, 200)
+	_, err := io.WriteString(kept, "GET / HTTP")
+	is.NoErr(err)
+	limited.Store(true)
+	status, _ = idle.status()
+	is.Equal(status, 0)
+	for _, c := range []*client{slow, kept} {
+		status, _ = c.status()
+		is.Equal(status, 408)
+	}
+	is.Equal(s.runs.Load(), int32(3))
+	_, err = io.WriteString(body, "x")
+	is.NoErr(err)
+	for range 2 {
+		s.release <- struct{}{}
+	}
+	for _, c := range []*client{serving, body} {
+		status, _ = c.status()
+		is.Equal(status, 200)
+	}
+}
+
+// TestMixedFramingIsSeenInEveryHead guards against a head that is attributed to another request, for any split and
+// number of requests on a connection.
+func TestMixedFramingIsSeenInEveryHead(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, Config{}, 0)
+	for seed := range uint64(20) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		text, requests := "", 1+rng.IntN(5)
+		for range requests {
+			body := strings.Repeat("Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n", rng.IntN(3))
+			text += strings.Repeat("\r\n", rng.IntN(2)) + fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		text += "POST / HTTP/1.1\r\nHost: h\r\ntransfer-encoding: chunked\r\ncontent-length: 9\r\n\r\n0\r\n\r\n"
+		c := s.dial("")
+		for len(text) > 0 {
+			n := 1 + rng.IntN(min(len(text), 80))
+			_, err := io.WriteString(c, text[:n])
+			is.NoErr(err)
+			text = text[n:]
+		}
+		for i := range requests + 1 {
+			status, _ := c.status()
+			is.Equal(status, 200)
+			is.Equal((<-s.heads).MixedFraming(), i == requests)
+		}
+		status, _ := c.status()
+		is.Equal(status, 0) // where the next head begins is not known
+	}
+}
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -1,4 +1,4 @@
-// Package memory limits what the bodies of requests may occupy in a process together.
+// Package memory limits what requests may occupy in a process together: their connections, heads and bodies.
 package memory
 
 import (
@@ -9,11 +9,15 @@
 )
 
 const (
-	// SmallBytes is the size up to which a body may use the whole budget. Larger ones leave a part
-	// of it to them.
-	SmallBytes = 64 << 10
-	// smallDivisor is the part of the budget that is left to small bodies, as a divisor.
-	smallDivisor = 8
+	// OrdinaryBytes is the size up to which a charge may use the whole budget: a connection, or the head of an
+	// ordinary request. Small ones up to SmallBytes leave a part of it to these, and larger ones another part
+	// to small ones.
+	OrdinaryBytes = 16 << 10
+	SmallBytes    = 64 << 10
+	// ordinaryDivisor is the part of the budget that is left to ordinary charges, and smallDivisor the part
+	// that is left to them and to small ones, as divisors.
+	ordinaryDivisor = 8
+	smallDivisor    = 4
 	// ownerDivisor is the part of the budget that is closed to the large bodies of one owner, as a
 	// divisor.
 	ownerDivisor = 4
@@ -26,13 +30,13 @@
 	holdTimeWeight = 0.1
 )
 
-// Budget limits the bytes of all bodies in memory. Its zero value and nil have no limit.
+// Budget limits the bytes of all requests in memory. Its zero value and nil have no limit.
 type Budget struct {
 	limit int64
 
 	mu       sync.Mutex
 	held     int64
-	byOwner  map[string]int64 // large bodies only
+	byOwner  map[string]int64 // large and assigned charges only
 	holdTime time.Duration    // average for large bodies
 }
 
@@ -49,12 +53,14 @@
 	return b.held
 }
 
-// Charge is what one body occupies of a budget. It is used by one goroutine at a time.
+// Charge is what one connection, head or body occupies of a budget.
 type Charge struct {
 	budget *Budget
 	owner  string
 	since  time.Time
 	size   int64
+	// assigned is set if the owner is accountable also for a small charge.
+	assigned bool
 }
 
 // Begin returns an empty charge for a body of an owner, such as a workspace.
@@ -72,21 +78,59 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if size > c.size && !b.hasRoom(c, size) {
-		return fault.New(fault.Overloaded, "not run: the bodies of other requests leave no room for this one", "retry after the given time").
-			RetryIn(min(max(b.holdTime, minRetryAfter), maxRetryAfter))
+		return b.errNoRoom()
 	}
 	b.account(c, size)
 	return nil
 }
 
+// Force charges for the given size whether or not there is room for it. It is for what is in memory already.
+func (c *Charge) Force(size int64) {
+	b := c.budget
+	if b == nil || b.limit == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(c, size)
+}
+
+// Assign makes an owner accountable for the charge, whatever its size. A fault of kind Overloaded means that
+// the charges of this owner leave no room for others, and the charge stays as it is.
+func (c *Charge) Assign(owner string) error {
+	b := c.budget
+	if b == nil || b.limit == 0 {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.byOwner[owner]+copies*c.size > b.limit-b.limit/ownerDivisor {
+		return b.errNoRoom()
+	}
+	size := c.size
+	b.account(c, 0)
+	c.owner, c.assigned = owner, true
+	b.account(c, size)
+	return nil
+}
+
+// errNoRoom returns the fault of a charge for which there is no room. The caller holds mu.
+func (b *Budget) errNoRoom() error {
+	return fault.New(fault.Overloaded, "not run: other requests leave no room for this one", "retry after the given time").
+		RetryIn(min(max(b.holdTime, minRetryAfter), maxRetryAfter))
+}
+
 // Release gives back what is charged, if there is a charge.
 func (c *Charge) Release() {
-	if c == nil || c.budget == nil || c.size == 0 {
+	if c == nil || c.budget == nil {
 		return
 	}
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if c.size == 0 {
+		return
+	}
 	if c.size > SmallBytes {
 		b.holdTime += time.Duration(holdTimeWeight * float64(time.Since(c.since)-b.holdTime))
 	}
@@ -96,23 +140,34 @@
 // hasRoom reports whether a charge may grow to size. The caller holds mu.
 func (b *Budget) hasRoom(c *Charge, size int64) bool {
 	held := b.held + copies*(size-c.size)
-	if size <= SmallBytes {
+	switch {
+	case size <= OrdinaryBytes:
 		return held <= b.limit
+	case size <= SmallBytes:
+		return held <= b.limit-b.limit/ordinaryDivisor
 	}
-	owned := b.byOwner[c.owner] + copies*(size-largeSize(c.size))
+	owned := b.byOwner[c.owner] + copies*(size-c.ownedSize(c.size))
 	return held <= b.limit-b.limit/smallDivisor && owned <= b.limit-b.limit/ownerDivisor
 }
 
 // account changes the size of a charge. The caller holds mu.
 func (b *Budget) account(c *Charge, size int64) {
 	b.held += copies * (size - c.size)
-	b.byOwner[c.owner] += copies * (largeSize(size) - largeSize(c.size))
+	b.byOwner[c.owner] += copies * (c.ownedSize(size) - c.ownedSize(c.size))
 	if b.byOwner[c.owner] == 0 {
 		delete(b.byOwner, c.owner)
 	}
 	c.size = size
 }
 
+// ownedSize returns what the owner of a charge is accountable for at a size.
+func (c *Charge) ownedSize(size int64) int64 {
+	if c.assigned {
+		return size
+	}
+	return largeSize(size)
+}
+
 // largeSize returns the size of a body if it is not small, and zero otherwise.
 func largeSize(size int64) int64 {
 	if size <= SmallBytes {
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -57,6 +57,9 @@
 			small := b.Begin("small")
 			is.NoErr(small.Resize(SmallBytes)) // there is always room for a few small ones
 			small.Release()
+			ordinary := b.Begin("small")
+			is.NoErr(ordinary.Resize(OrdinaryBytes)) // and more for ordinary ones
+			ordinary.Release()
 		}
 		is.True(refused > 0)
 		for _, c := range open {
--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -16,6 +16,7 @@
 	agentv1 "github.com/lilackeel/lilackeel/api/agent/v1"
 	controlv1 "github.com/lilackeel/lilackeel/api/control/v1"
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/link/replicas"
 	"github.com/lilackeel/lilackeel/ratelimit"
@@ -47,8 +48,9 @@
 	server    *grpc.Server
 	pool      *link.Pool
 	// backups holds the second connections to other hosts.
-	backups  *link.Pool
-	listener net.Listener
+	backups   *link.Pool
+	listener  net.Listener
+	resources *inbound.Resources
 }
 
 // New returns a daemon, which listens but does not serve before Run.
@@ -73,17 +75,21 @@
 		PollInterval: settings.PollInterval, CountInterval: settings.CountInterval,
 		ReportSlowdown: settings.ReportSlowdown,
 	})
+	resources := settings.Inbound.Resources()
 	server := grpc.NewServer(options...)
 	agentv1.RegisterAgentServer(server, &service{
 		host: host, endpoint: settings.Endpoint, shared: sharing.NewHost(host.now, ratelimit.NewArbiter()),
 		relay: &relay{call: hostClient{pool}.callGroup, backup: hostClient{backups}.callGroup, hedger: link.NewHedger(backups), logger: logger, inFlight: map[string]bool{}},
 	})
 	return &Daemon{
-		settings: settings, logger: logger, ready: telemetry.NewReady(), host: host, server: server, pool: pool, backups: backups, listener: listener,
+		settings: settings, logger: logger, ready: telemetry.NewReady(), host: host, server: server, pool: pool, backups: backups, resources: resources, listener: listener,
 		announcer: &announcer{settings: settings, host: host, finder: finder, logger: logger, incarnation: rand.Uint64() | 1},
 	}, nil
 }
 
+// Resources implements daemon.Daemon.
+func (d *Daemon) Resources() *inbound.Resources { return d.resources }
+
 // Ready returns the readiness of the daemon.
 func (d *Daemon) Ready() *telemetry.Ready { return d.ready }
 
--- a/rankhost/settings.go
+++ b/rankhost/settings.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 	"github.com/lilackeel/lilackeel/setting"
 	"github.com/lilackeel/lilackeel/telemetry"
@@ -26,6 +27,8 @@
 	// ReportSlowdown is when the engine's slowdown is reported: SlowdownAuto, SlowdownOn or
 	// SlowdownOff.
 	ReportSlowdown string
+	// Inbound limits what the clients of the HTTP and gRPC listeners may hold.
+	Inbound inbound.ResourceConfig
 	// Link configures the security of connections, Telemetry logs, metrics and traces.
 	Link      link.Config
 	Telemetry telemetry.Config
@@ -50,6 +53,7 @@
 	set.String(&s.ReportSlowdown, "report-slowdown", SlowdownAuto, "whether entries and the control leader learn how much slower than nominal the engine works; auto: if the engine states when it started",
 		setting.OneOf(SlowdownAuto, SlowdownOn, SlowdownOff))
 	s.Telemetry.AdminListen = defaultAdminListen
+	inbound.RegisterSettings(set, &s.Inbound)
 	link.Settings(set, &s.Link)
 	telemetry.RegisterSettings(set, &s.Telemetry)
 	set.Check(func() error { return s.Link.CheckListen(s.Listen) })
--- a/routed/request.go
+++ b/routed/request.go
@@ -15,6 +15,7 @@
 	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/endpoint/load"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/memory"
 	"github.com/lilackeel/lilackeel/quarantine"
 	"github.com/lilackeel/lilackeel/site"
@@ -61,7 +62,7 @@
 		id: s.requestID(r), arrived: s.clock(), siteVersion: table.Version(),
 		method: r.Method, host: r.Host, header: r.Header, target: target(r),
 	}
-	if mixedFraming(r) {
+	if inbound.HeadOf(r.Context()).MixedFraming() {
 		return q, call.Refuse(errMixedFraming)
 	}
 	if s.rejecting.Load() {
@@ -79,6 +80,9 @@
 	if v := q.resolve(r, table); v != nil {
 		return q, v
 	}
+	if err := inbound.HeadOf(r.Context()).Assign(q.callerName()); err != nil {
+		return q, call.RefuseWithStatus(http.StatusServiceUnavailable, fault.From(err))
+	}
 	q.deadline = q.arrived + time.Duration(q.route.GetTimeoutMs())*time.Millisecond
 	if wait := readMillis(r.Header, s.config.Headers.Deadline); wait > 0 {
 		q.deadline = min(q.deadline, q.arrived+wait)
@@ -177,6 +181,14 @@
 	return r.URL.RequestURI()
 }
 
+// Limits returns the limits on callers by the published site. What it does not limit is limited by the defaults.
+func (s *Server) Limits(defaults inbound.Limits) inbound.Limits {
+	published := s.table.Load().Limits()
+	limits := defaults
+	limits.HeadBytes = orDefault(published.GetHeaderBytes(), s.config.MaxHeaderBytes)
+	return limits
+}
+
 // checkHeadSize enforces the limit on the request head.
 func (s *Server) checkHeadSize(r *http.Request, table *site.Table) *call.Verdict {
 	limit := orDefault(table.Limits().GetHeaderBytes(), s.config.MaxHeaderBytes)
@@ -234,6 +246,7 @@
 		return errBodyTooLarge(limit)
 	}
 	q.bodyCharge = s.Bodies.Begin(q.callerName())
+	defer inbound.HeadOf(r.Context()).AwaitBody()()
 	control := http.NewResponseController(w)
 	bodyTimeout := min(s.config.BodyTimeout, max(q.deadline-s.clock(), time.Millisecond))
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
--- a/telemetry/admin.go
+++ b/telemetry/admin.go
@@ -8,16 +8,15 @@
 	"net"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"github.com/lilackeel/lilackeel/answer"
 	"github.com/lilackeel/lilackeel/fault"
+	"github.com/lilackeel/lilackeel/inbound"
 )
 
-// adminReadHeaderTimeout bounds reading the headers of an admin request.
-const adminReadHeaderTimeout = 5 * time.Second
+// adminShare is the share of the process's descriptors that clients of the admin listener may use.
+const adminShare = 1.0 / 16
 
 // Ready is the readiness of a daemon: whether it accepts new work. It is safe for
 // concurrent use.
@@ -70,13 +69,13 @@
 
 // AdminServer serves AdminHandler on a listener of its own.
 type AdminServer struct {
-	server *http.Server
+	server *inbound.Server
 	addr   string
 }
 
 // ServeAdmin listens on cfg.AdminListen and serves AdminHandler in the background.
 // If the address is empty, it does nothing.
-func ServeAdmin(cfg Config, ready *Ready, logger *slog.Logger) (*AdminServer, error) {
+func ServeAdmin(cfg Config, ready *Ready, resources *inbound.Resources, logger *slog.Logger) (*AdminServer, error) {
 	if cfg.AdminListen == "" {
 		return &AdminServer{}, nil
 	}
@@ -85,11 +84,10 @@
 		return nil, fault.Newf(fault.Invalid, "choose a free address with -admin-listen",
 			"cannot listen on %s", cfg.AdminListen).WithCause(err)
 	}
-	server := &http.Server{
-		Handler:           answer.CloseAfterChunks(AdminHandler(ready)),
-		ReadHeaderTimeout: adminReadHeaderTimeout,
-		ErrorLog:          slog.NewLogLogger(logger.Handler(), slog.LevelWarn),
-	}
+	server := inbound.NewServer(inbound.Config{
+		Name: "admin", MaxConnections: resources.Share(adminShare),
+		BodyTimeout: inbound.DefaultBodyTimeout, WriteTimeout: inbound.DefaultWriteTimeout, Logger: logger,
+	}, resources, AdminHandler(ready))
 	go func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			logger.Error("the admin listener stopped", "error", err)
