inbound: connections that wait for their clients make room for others

Ordinary callers were not accepted any more once idle connections had taken the descriptors of an entry: it accepted connections until the operating system refused one.

Cause: open connections had no bound. Above half of the descriptors an entry closed connections after their next response, which an idle one never gets.

Change: each listener accepts connections for its share of -max-files (callers 5/8, control's platform listener 1/4, readiness and admin 1/16 each). Beyond it the connection that has waited longest for its client is closed: idle, with an incomplete head, or with a body that has not arrived. A connection with a request in progress never is; if there are only such, the new one is closed. The same happens when the process is out of descriptors.

TestConnectionsAreBounded checks which connection is closed.

--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -36,6 +36,10 @@
 	// Numbers of clients whose heads exceed the limit, and of those that respect it.
 	largeHeadClients = 40
 	legalHeadClients = 1000
+	// fileLimit is the number of descriptors of a process that is crowded with idle connections, and
+	// idleClients the number of these.
+	fileLimit   = 400
+	idleClients = 450
 	// clientTimeout is when a client stops to write. The process may have closed its connection or may not
 	// read from it.
 	clientTimeout = 10 * time.Second
@@ -429,6 +433,29 @@
 	}
 }
 
+// TestIdleConnections guards against idle connections, with or without the beginning of a request, that take
+// all descriptors of a process, so that ordinary callers are not accepted.
+func TestIdleConnections(t *testing.T) {
+	for name, text := range map[string]string{"silent": "", "half a request": "GET /read/x HT"} {
+		t.Run(name, func(t *testing.T) {
+			s := newRoutedSite(t, fileLimit, fileLimit, "-body-memory", bodyMemory)
+			crowd(t, s.callerAddr, idleClients, text)
+			eventually(t, "an ordinary answer", s.ask)
+			checkProcess(t, s.entry, entryMemory, fileLimit)
+			crowd(t, s.readyAddr, idleClients, text)
+			eventually(t, "the readiness", s.askReady)
+			crowd(t, s.adminOf, idleClients, text)
+			eventually(t, "an answer of the admin listener", func() error { return checkReady(s.adminOf) })
+			eventually(t, "an ordinary answer", s.ask)
+			checkProcess(t, s.entry, entryMemory, fileLimit)
+			crowd(t, s.platformAddr, idleClients, text)
+			crowd(t, s.controlAdmin, idleClients, text)
+			eventually(t, "an ordinary answer of control", s.askControl)
+			checkProcess(t, s.control, controlMemory, fileLimit)
+		})
+	}
+}
+
 // TestHeadsAtCompletions guards against heads that take the memory of an entry with the completions API.
 func TestHeadsAtCompletions(t *testing.T) {
 	s := newSite(t, "-body-memory", bodyMemory, "-max-headers", strconv.Itoa(headLimit))
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -30,10 +30,12 @@
 
 // Reasons of refusals in logs and metrics.
 const (
-	reasonHeadSize = "head-size"
-	reasonHeadTime = "head-time"
-	reasonMemory   = "memory"
-	reasonIdle     = "idle"
+	reasonHeadSize    = "head-size"
+	reasonHeadTime    = "head-time"
+	reasonConnections = "connections"
+	reasonFiles       = "files"
+	reasonMemory      = "memory"
+	reasonIdle        = "idle"
 )
 
 var (
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -227,6 +227,33 @@
 	is.Equal(status, 200)
 }
 
+// TestConnectionsAreBounded guards against idle connections that keep others out, and against connections with a
+// request in progress, or younger ones, that are closed before the oldest idle one.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, Config{MaxConnections: 4}, 0)
+	serving := s.dial(held + "\r\n")
+	s.awaitRuns(1)
+	var idle []*client
+	for range 3 {
+		c := s.dial(ordinary)
+		status, _ := c.status()
+		is.Equal(status, 200)
+		idle = append(idle, c)
+	}
+	status, _ := s.dial(ordinary).status()
+	is.Equal(status, 200)
+	_, err := idle[0].reader.ReadByte()
+	is.True(err != nil) // the oldest is closed
+	_, err = io.WriteString(idle[2], ordinary)
+	is.NoErr(err)
+	status, _ = idle[2].status()
+	is.Equal(status, 200)
+	s.release <- struct{}{}
+	status, _ = serving.status()
+	is.Equal(status, 200)
+}
+
 // TestTimeLimits guards against heads that trickle and connections that idle for ever, on connections that were
 // open when the limits came into force, and against a request in progress, or waiting for its body, that is cut.
 func TestTimeLimits(t *testing.T) {
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -1,10 +1,12 @@
 package inbound
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -47,11 +49,14 @@
 	return l.connections
 }
 
-// Accept implements net.Listener. If memory runs short, connections without a
+// Accept implements net.Listener. If descriptors, connections or memory run short, connections without a
 // request in progress are closed, or else the new one.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
+		if outOfFiles(err) && l.resources.evict(nil, nil, reasonFiles) {
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -61,9 +66,18 @@
 	}
 }
 
+func outOfFiles(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
 // admit returns the connection to serve, or nil if there is no room for it and it was closed.
 func (l *listener) admit(accepted net.Conn) *conn {
 	c := &conn{Conn: accepted, listener: l, base: l.resources.memory.Begin(""), since: l.now()}
+	for l.open() >= l.config.MaxConnections {
+		if !l.resources.evict(l, nil, reasonConnections) {
+			return l.reject(c, reasonConnections)
+		}
+	}
 	for c.base.Resize(connectionCost) != nil {
 		if !l.resources.evict(nil, nil, reasonMemory) {
 			return l.reject(c, reasonMemory)
