inbound: a request whose connection was closed to make room never runs

A connection could be closed to make room in the moment in which the last bytes of a request on it were being read. The request would then run, and its caller, whose connection ended without a response, could take it for not run.

Cause: the check that no request is in progress and the end of the head, or of the body, were not ordered by one lock.

Change: the end of a head and of a body report whether the connection has been closed, under the lock under which it is chosen; such a request does not run.

TestEvictedConnectionRunsNothing closes the connection at both moments; without the two checks it fails (the head is accepted, the body returned).

--- a/entry/body.go
+++ b/entry/body.go
@@ -21,11 +21,12 @@
 	if r.ContentLength > s.config.MaxBodyBytes {
 		return s.errBodyTooLarge()
 	}
-	defer inbound.HeadOf(r.Context()).AwaitBody()()
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
 	q.bodyCharge = s.Bodies.Begin(q.workspace.GetName())
-	body, err := memory.ReadBody(http.MaxBytesReader(w, r.Body, s.config.MaxBodyBytes), r.ContentLength, q.bodyCharge)
+	body, err := inbound.HeadOf(r.Context()).ReadBody(func() ([]byte, error) {
+		return memory.ReadBody(http.MaxBytesReader(w, r.Body, s.config.MaxBodyBytes), r.ContentLength, q.bodyCharge)
+	})
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
 		q.body = body
--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -124,7 +124,10 @@
 
 // account charges for the head that is being read, and begins a body after its end.
 func (c *conn) account(done bool) error {
-	waits := c.enterHead()
+	waits, closed := c.enterHead()
+	if closed {
+		return errClosed
+	}
 	if waits && c.head.size > c.listener.config.Limits().HeadBytes {
 		return c.refuse(reasonHeadSize, call.RefuseWithStatus(http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge))
 	}
@@ -146,8 +149,7 @@
 		head.charge.Release()
 		head = nil
 	}
-	c.leaveHead(head)
-	return nil
+	return c.leaveHead(head)
 }
 
 // grow charges for a head. Connections that are not being served make room for one of ordinary size. One that is read ahead while another request is served is never refused; net/http
@@ -188,17 +190,18 @@
 }
 
 // enterHead marks that a head is being read, and reports whether the connection waits for it, that is, no
-// other request is being served.
-func (c *conn) enterHead() (waits bool) {
+// other request is being served, and whether it has been closed meanwhile.
+func (c *conn) enterHead() (waits, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.inHead {
 		c.inHead, c.since = true, c.listener.now()
 	}
-	return len(c.complete) == 0 && c.serving == 0
+	return len(c.complete) == 0 && c.serving == 0, c.closed
 }
 
-func (c *conn) leaveHead(head *Head) {
+// leaveHead ends a head. A request whose connection has been closed meanwhile must not run.
+func (c *conn) leaveHead(head *Head) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.inHead = false
@@ -211,6 +214,10 @@
 	if head != nil {
 		c.complete = append(c.complete, head)
 	}
+	if c.closed {
+		return errClosed
+	}
+	return nil
 }
 
 // begin returns the head of the request whose handler begins. For HTTP/2 it is charged here, and an error
@@ -231,12 +238,14 @@
 	return head, c.grow(head.charge, parsedCost(r), true)
 }
 
-// awaitBody sets whether the request in progress waits for its body.
-func (c *conn) awaitBody(awaiting bool) {
+// awaitBody sets whether the request in progress waits for its body, and reports whether the connection has been
+// closed meanwhile.
+func (c *conn) awaitBody(awaiting bool) (closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaitingBody = awaiting && !c.http2
 	c.since = c.listener.now()
+	return c.closed
 }
 
 // end ends the use of a head.
--- a/inbound/head.go
+++ b/inbound/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/memory"
 )
 
@@ -50,14 +51,21 @@
 	return h.charge.Assign(owner)
 }
 
-// AwaitBody marks the begin of reading the request's body. Until it has been read, the connection may be closed to
-// make room for others. The returned function must be called when the body has been read.
-func (h *Head) AwaitBody() (done func()) {
+// errBodyClosed is the error of a body whose connection was closed to make room for others.
+var errBodyClosed = fault.New(fault.Overloaded, "not run: the connection was closed to make room for others", "retry on a new connection")
+
+// ReadBody calls read, which reads the request's body. Meanwhile, the connection may be closed to make room for
+// others; the error is a fault of kind Overloaded then, and the request must not run.
+func (h *Head) ReadBody(read func() ([]byte, error)) ([]byte, error) {
 	if h == nil {
-		return func() {}
+		return read()
 	}
 	h.conn.awaitBody(true)
-	return func() { h.conn.awaitBody(false) }
+	body, err := read()
+	if h.conn.awaitBody(false) {
+		return nil, errBodyClosed
+	}
+	return body, err
 }
 
 // MinSize returns the least number of bytes that the head of a request can have had in HTTP/1.
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/memory"
 )
 
@@ -40,10 +41,8 @@
 	server := NewServer(cfg, NewResources(s.budget, 0), http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.runs.Add(1)
 		s.heads <- HeadOf(r.Context())
-		bodyRead := HeadOf(r.Context()).AwaitBody()
-		_, _ = io.Copy(io.Discard, r.Body)
-		bodyRead()
-		if r.URL.Path == "/held" {
+		_, err := HeadOf(r.Context()).ReadBody(func() ([]byte, error) { return io.ReadAll(r.Body) })
+		if r.URL.Path == "/held" && err == nil {
 			<-s.release
 		}
 	}))
@@ -213,17 +212,21 @@
 	s := newTestServer(t, Config{}, 40*2*connectionCost)
 	serving := s.dial(held + "\r\n")
 	s.awaitRuns(1)
+	var bodies []*client
 	for range 100 {
 		s.dial("GET / HTTP/1.1\r\nHost: h\r\na: ")
-		s.dial(held + "Content-Length: 5\r\n\r\n")
+		body := s.dial(held + "Content-Length: 5\r\n\r\n")
+		bodies = append(bodies, body)
 	}
 	for range 3 {
 		c := s.dial(ordinary)
 		status, _ := c.status()
 		is.Equal(status, 200)
 	}
+	status, _ := bodies[0].status()
+	is.Equal(status, 0)
 	s.release <- struct{}{}
-	status, _ := serving.status()
+	status, _ = serving.status()
 	is.Equal(status, 200)
 }
 
@@ -321,3 +324,36 @@
 		is.Equal(status, 0) // where the next head begins is not known
 	}
 }
+
+// TestEvictedConnectionRunsNothing guards against a request that runs although its connection was closed to make
+// room while its last bytes were being read, so that its client takes it for not run.
+func TestEvictedConnectionRunsNothing(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(Config{Name: "test", MaxConnections: 9, Logger: slog.New(slog.DiscardHandler)}, NewResources(nil, 0), nil)
+	open := func() *conn {
+		client, accepted := net.Pipe()
+		t.Cleanup(func() { _ = client.Close() })
+		return server.listener.admit(accepted)
+	}
+	c := open()
+	c.evict(reasonConnections)
+	_, err := c.follow([]byte(ordinary))
+	is.Equal(err, errClosed)
+
+	c = open()
+	_, err = c.follow([]byte(held + "Content-Length: 5\r\n\r\n"))
+	is.NoErr(err)
+	head, err := c.begin(nil)
+	is.NoErr(err)
+	_, err = head.ReadBody(func() ([]byte, error) {
+		c.evict(reasonConnections)
+		return []byte("whole"), nil
+	})
+	is.True(fault.Is(err, fault.Overloaded))
+	c.end(head)
+	c = open()
+	_, err = c.follow([]byte(ordinary))
+	is.NoErr(err)
+	c.evict(reasonConnections)
+	is.True(!c.closed) // its request is complete
+}
--- a/routed/request.go
+++ b/routed/request.go
@@ -241,11 +241,12 @@
 		return errBodyTooLarge(limit)
 	}
 	q.bodyCharge = s.Bodies.Begin(q.callerName())
-	defer inbound.HeadOf(r.Context()).AwaitBody()()
 	control := http.NewResponseController(w)
 	bodyTimeout := min(s.config.BodyTimeout, max(q.deadline-s.clock(), time.Millisecond))
 	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body, err := memory.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, q.bodyCharge)
+	body, err := inbound.HeadOf(r.Context()).ReadBody(func() ([]byte, error) {
+		return memory.ReadBody(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, q.bodyCharge)
+	})
 	if err == nil {
 		// On an error the deadline is kept, or the server would wait for the rest of the body.
 		_ = control.SetReadDeadline(time.Time{})
