routed: the published limits on time are in force

Callers could take 10 s for a head and keep a connection idle for as long as the settings said, whatever headerTimeoutMs and idleTimeoutMs the operator had published: both were stored and not used.

The time of a head has an allowance of a second for packets that are sent again.

--- a/routed/request.go
+++ b/routed/request.go
@@ -181,11 +181,21 @@
 	return r.URL.RequestURI()
 }
 
+// deliveryAllowance is added to the published time limit on heads: a caller that sends a head within the limit may
+// be heard later, as packets are lost and sent again.
+const deliveryAllowance = time.Second
+
 // Limits returns the limits on callers by the published site. What it does not limit is limited by the defaults.
 func (s *Server) Limits(defaults inbound.Limits) inbound.Limits {
 	published := s.table.Load().Limits()
 	limits := defaults
 	limits.HeadBytes = orDefault(published.GetHeaderBytes(), s.config.MaxHeaderBytes)
+	if ms := published.GetHeaderTimeoutMs(); ms > 0 {
+		limits.HeadTimeout = time.Duration(ms)*time.Millisecond + deliveryAllowance
+	}
+	if ms := published.GetIdleTimeoutMs(); ms > 0 {
+		limits.IdleTimeout = time.Duration(ms) * time.Millisecond
+	}
 	return limits
 }
 
