memory: a budget is never more than half of the host's memory

The budget of an entry is 128 MiB unless it is set, on a host of 136 MB as well: requests within the budget could end the process. The settings page asked operators to set less; nothing kept to it.

Change: the budgets of entries and of the other daemons are cut to half of the memory that the operating system reports. The settings stay the upper limit.

TestBudgetFitsHost: 68 MiB on a host of 136 MiB; without the cut 128.

--- a/entry/config.go
+++ b/entry/config.go
@@ -139,7 +139,7 @@
 	s.Duration(&cfg.DefaultDeadline, "deadline", 2*time.Minute, "deadline of requests that state none", setting.Min(minDeadline))
 	s.Duration(&cfg.MaxDeadline, "max-deadline", 15*time.Minute, "longest deadline that a request may state", setting.Min(minDeadline))
 	s.Bytes(&cfg.MaxBodyBytes, "max-body", 8<<20, "largest body of a request", setting.Min(minBodyBytes))
-	s.Bytes(&cfg.BodyMemory, "body-memory", 128<<20, "memory for the connections of callers, the heads and bodies of their requests, and the long responses that are held, together, each charged twice; what exceeds it is refused; half of the host's memory at most, 0 for no limit", setting.Min(int64(0)))
+	s.Bytes(&cfg.BodyMemory, "body-memory", 128<<20, "memory for the connections of callers, the heads and bodies of their requests, and the long responses that are held, together, each charged twice; what exceeds it is refused; never more than half of the host's memory; 0 for no limit", setting.Min(int64(0)))
 	s.Bytes(&cfg.MaxHeaderBytes, "max-headers", 64<<10, "largest headers of a request", setting.Min(minHeaderBytes), setting.Max(int64(1<<20)))
 	s.Duration(&cfg.BodyTimeout, "body-timeout", 30*time.Second, "time in which a caller must send the body", setting.Min(minDeadline))
 	s.Duration(&cfg.WriteTimeout, "write-timeout", time.Minute, "time in which a caller must read one chunk of the answer", setting.Min(minDeadline))
--- a/entry/providers.go
+++ b/entry/providers.go
@@ -90,7 +90,7 @@
 
 // newBodyBudget returns the budget of the bodies of all requests, on both interfaces.
 func newBodyBudget(cfg Config) *memory.Budget {
-	bodies := memory.NewBudget(cfg.BodyMemory)
+	bodies := memory.NewBudget(memory.WithinHost(cfg.BodyMemory))
 	metrics.GetOrCreateGauge(`lilackeel_entry_body_memory_bytes`, func() float64 { return float64(bodies.Held()) })
 	return bodies
 }
--- a/inbound/resources.go
+++ b/inbound/resources.go
@@ -29,7 +29,7 @@
 
 // RegisterSettings registers the settings of cfg for a process that is not an entry.
 func RegisterSettings(s *setting.Set, cfg *ResourceConfig) {
-	s.Bytes(&cfg.Memory, "request-memory", DefaultMemory, "memory for the connections, heads and bodies of the requests of HTTP clients together, each charged twice; what exceeds it is refused; 0 for no limit", setting.Min(int64(0)))
+	s.Bytes(&cfg.Memory, "request-memory", DefaultMemory, "memory for the connections, heads and bodies of the requests of HTTP clients together, each charged twice; what exceeds it is refused; never more than half of the host's memory; 0 for no limit", setting.Min(int64(0)))
 	s.Int(&cfg.MaxFiles, "max-files", 0, "descriptors that the process may open, of which each listener accepts connections for its share; 0 for the limit of the operating system", setting.Min(0))
 }
 
@@ -51,7 +51,7 @@
 
 // Resources returns the resources that cfg describes.
 func (cfg ResourceConfig) Resources() *Resources {
-	return NewResources(memory.NewBudget(cfg.Memory), cfg.MaxFiles)
+	return NewResources(memory.NewBudget(memory.WithinHost(cfg.Memory)), cfg.MaxFiles)
 }
 
 func openFileLimit(maxFiles int) int {
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+// TestBudgetFitsHost guards against a budget that a small host cannot hold.
+func TestBudgetFitsHost(t *testing.T) {
+	is := is.New(t)
+	is.Equal(within(128<<20, 136<<20), int64(68<<20))
+	is.Equal(within(64<<20, 280<<20), int64(64<<20))
+	is.Equal(within(128<<20, 0), int64(128<<20)) // not known
+	is.Equal(WithinHost(0), int64(0))
+	is.True(hostMemory() > 0)
+}
+
 // TestReadBody guards against a body that is read before it is charged, and against one that is cut or
 // changed on the way, whether or not it states its length.
 func TestReadBody(t *testing.T) {
