--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -36,6 +36,10 @@
 	// Numbers of clients whose heads exceed the limit, and of those that respect it.
 	largeHeadClients = 40
 	legalHeadClients = 1000
+	// documentSize is the size of the bodies that exceed the memory together, and documentClients the number
+	// of clients that send one.
+	documentSize    = 15 * megabyte
+	documentClients = 40
 	// fileLimit is the number of descriptors of a process that is crowded with idle connections, and
 	// idleClients the number of these.
 	fileLimit   = 400
@@ -433,6 +437,22 @@
 	}
 }
 
+// TestBodiesAtControl guards against large documents, whole or not, that take the memory of a control replica
+// together.
+func TestBodiesAtControl(t *testing.T) {
+	for name, put := range map[string]string{
+		"configuration": "PUT /lilackeel/config HTTP/1.1\r\nHost: h\r\nContent-Length: " + strconv.Itoa(documentSize+1) + "\r\n\r\n",
+		"chunks":        "PUT /lilackeel/config HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + strconv.FormatInt(documentSize+1, 16) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRoutedSite(t, 0, 0)
+			crowd(t, s.platformAddr, documentClients, put+`{"x":"`+strings.Repeat("x", documentSize-6))
+			eventually(t, "an ordinary answer", s.askControl)
+			checkProcess(t, s.control, controlMemory, 4096)
+		})
+	}
+}
+
 // TestIdleConnections guards against idle connections, with or without the beginning of a request, that take
 // all descriptors of a process, so that ordinary callers are not accepted.
 func TestIdleConnections(t *testing.T) {
