inbound: header lists and connections of gRPC listeners are bounded

Clients with HTTP/2 could make an agent or a control replica keep any number of connections, 16 MiB of headers for each call, and calls without a limit: an indexed field of a header list takes one byte on the wire. Idle connections that had taken the descriptors of an agent kept a restarted entry from reaching it.

Cause: the defaults of gRPC; nothing bounded the connections.

Change: gRPC listeners limit header lists to 16 KiB, the calls in progress on a connection to 1,024 and the time of a handshake to 5 s, charge each call to the budget of the process, and accept connections for their share of -max-files (agents, ranks' hosts and control 1/2, relays 1/8). Beyond it a connection without a complete handshake is closed, then the one that has sent nothing for longest. Our own header lists are below 1 KiB, and daemons answer a ping every 2 s.

--- a/agent/daemon.go
+++ b/agent/daemon.go
@@ -31,7 +31,9 @@
 	drainPollInterval = 20 * time.Millisecond
 	// readyPollInterval is the interval at which a starting agent checks whether it is ready.
 	readyPollInterval = 20 * time.Millisecond
-	// stepsShare is the share of the descriptors that engines that are ranks may use.
+	// peerShare and stepsShare are the shares of the descriptors that entries and control replicas, and engines
+	// that are ranks, may use.
+	peerShare  = 1.0 / 2
 	stepsShare = 1.0 / 8
 )
 
@@ -120,7 +122,7 @@
 
 // start starts the goroutines that also run during a planned stop. They end with ctx.
 func (d *Daemon) start(ctx context.Context, group *sync.WaitGroup) {
-	group.Go(func() { _ = d.server.Serve(d.listener) })
+	group.Go(func() { _ = d.server.Serve(d.resources.PeerListener(d.listener, "peers", peerShare, d.logger)) })
 	group.Go(func() { _ = d.feed.Run(ctx) })
 	group.Go(func() { d.controls.learnFence(ctx, d.lockedGate) })
 	for _, p := range d.pollers {
@@ -259,11 +261,12 @@
 func newResources(s *Settings) *inbound.Resources { return s.Inbound.Resources() }
 
 // newServer returns a gRPC server with the agent's service registered.
-func newServer(s *Settings, agent *service) (*grpc.Server, error) {
+func newServer(s *Settings, resources *inbound.Resources, agent *service) (*grpc.Server, error) {
 	options, err := link.ServerOptions(s.Link)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	options = append(options, resources.PeerOptions()...)
 	options = append(options, grpc.MaxRecvMsgSize(int(s.MaxMessage)))
 	server := grpc.NewServer(options...)
 	agentv1.RegisterAgentServer(server, agent)
--- a/agent/wire_gen.go
+++ b/agent/wire_gen.go
@@ -36,13 +36,13 @@
 	agentControls := newControls(settings, pool, logger)
 	ranks := newRanks(settings, agentControls, agentOrderer, logger)
 	agentService := newService(agentLockedGate, agentDispatcher, agentOrderer, agentReportBuffer, ranks)
-	server, err := newServer(settings, agentService)
+	resources := newResources(settings)
+	server, err := newServer(settings, resources, agentService)
 	if err != nil {
 		return nil, err
 	}
 	agentAnnouncer := newAnnouncer(settings, agentLockedGate, agentControls, agentLoadedState, agentHealth, logger)
 	v := newPollers(settings, agentLockedGate, agentEndpointClient, agentReportBuffer, agentLoadedState, agentHealth, logger)
-	resources := newResources(settings)
 	daemon := &Daemon{
 		settings:   settings,
 		logger:     logger,
--- a/control/daemon.go
+++ b/control/daemon.go
@@ -33,6 +33,9 @@
 	stoppingReason = "stopping"
 )
 
+// peerShare is the share of the descriptors that other daemons and operators may use.
+const peerShare = 1.0 / 2
+
 // Daemon is one control replica.
 type Daemon struct {
 	settings *Settings
@@ -92,7 +95,7 @@
 	defer cancel()
 	d.exportMetrics()
 	var group sync.WaitGroup
-	group.Go(func() { _ = d.server.Serve(d.listener) })
+	group.Go(func() { _ = d.server.Serve(d.resources.PeerListener(d.listener, "peers", peerShare, d.logger)) })
 	group.Go(func() { d.source.pollQuorum(background, d.log, d.settings.ReadInterval, d.logger) })
 	group.Go(func() { d.terms.run(background) })
 	group.Go(func() { d.watchReady(background, ctx) })
--- a/control/providers.go
+++ b/control/providers.go
@@ -81,11 +81,12 @@
 func newResources(s *Settings) *inbound.Resources { return s.Inbound.Resources() }
 
 // newServer returns the gRPC server with all services of a control replica.
-func newServer(s *Settings, log *server.Server, control *service, published *feed.Server, c *callTracker) (*grpc.Server, error) {
+func newServer(s *Settings, resources *inbound.Resources, log *server.Server, control *service, published *feed.Server, c *callTracker) (*grpc.Server, error) {
 	options, err := link.ServerOptions(s.Link)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
+	options = append(options, resources.PeerOptions()...)
 	options = append(options, grpc.ChainUnaryInterceptor(c.count))
 	g := grpc.NewServer(options...)
 	controlv1.RegisterControlServer(g, control)
--- a/control/wire_gen.go
+++ b/control/wire_gen.go
@@ -33,12 +33,12 @@
 	v2 := newDrivers(settings, server, state, pool, controlStatusCollector, logger)
 	controlTermManager := newTermManager(settings, server, state, v2, logger)
 	controlService := newService(settings, server, state, controlTermManager, pool, controlStatusCollector, controlFeedSource)
+	resources := newResources(settings)
 	controlCallTracker := newCallTracker()
-	grpcServer, err := newServer(settings, server, controlService, feedServer, controlCallTracker)
+	grpcServer, err := newServer(settings, resources, server, controlService, feedServer, controlCallTracker)
 	if err != nil {
 		return nil, err
 	}
-	resources := newResources(settings)
 	daemon := &Daemon{
 		settings:  settings,
 		logger:    logger,
--- a/e2e/clients_test.go
+++ b/e2e/clients_test.go
@@ -13,10 +13,13 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 )
 
 // These tests attach a crowd of misbehaving clients to one listener of a running deployment. While the crowd
@@ -27,6 +30,7 @@
 	// Memory of the smallest hosts.
 	entryMemory   = 136 * megabyte
 	controlMemory = 280 * megabyte
+	agentMemory   = 152 * megabyte
 	// bodyMemory is what an entry of entryMemory may use for requests.
 	bodyMemory = "48MiB"
 	// headLimit is the published limit on the head of a request.
@@ -469,6 +473,7 @@
 			eventually(t, "an ordinary answer", s.ask)
 			checkProcess(t, s.entry, entryMemory, fileLimit)
 			crowd(t, s.platformAddr, idleClients, text)
+			crowd(t, s.controlAddr, idleClients, text)
 			crowd(t, s.controlAdmin, idleClients, text)
 			eventually(t, "an ordinary answer of control", s.askControl)
 			checkProcess(t, s.control, controlMemory, fileLimit)
@@ -489,3 +494,74 @@
 	s.awaitServing(t)
 	checkProcess(t, s.entryProcs[0], entryMemory, 4100)
 }
+
+// TestHeaderListsOverHTTP2 guards against header lists that are short on the wire and long once decoded, taking
+// the memory of an entry, an agent or a control replica.
+func TestHeaderListsOverHTTP2(t *testing.T) {
+	s := newSite(t, "-body-memory", bodyMemory, "-max-headers", strconv.Itoa(headLimit))
+	for _, target := range []struct {
+		addr   string
+		path   string
+		p      *process
+		memory int64
+	}{
+		{s.entryAddrs[0], "/desk/swaps", s.entryProcs[0], entryMemory},
+		{s.agentAddrs[0], "/lilackeel.agent.v1.Agent/Unknown", s.agentProcs[0], agentMemory},
+		{s.controlAddrs[0], "/lilackeel.control.v1.Control/Unknown", s.controlProcs[0], controlMemory},
+	} {
+		for _, ended := range []bool{true, false} {
+			crowdFunc(t, target.addr, largeHeadClients, func(c net.Conn) { writeHeaderLists(c, target.path, ended) })
+			s.awaitServing(t)
+			checkProcess(t, target.p, target.memory, 4100)
+		}
+	}
+}
+
+// writeHeaderLists opens many streams on an HTTP/2 connection, each with a header list of fields that take one
+// byte on the wire. If ended is false, the last header block stays incomplete.
+func writeHeaderLists(c net.Conn, path string, ended bool) {
+	const streams, fields = 100, 1500
+	go func() { _, _ = io.Copy(io.Discard, c) }()
+	if _, err := io.WriteString(c, http2.ClientPreface); err != nil {
+		return
+	}
+	framer := http2.NewFramer(c, nil)
+	_ = framer.WriteSettings()
+	var block bytes.Buffer
+	encoder := hpack.NewEncoder(&block)
+	for i := range streams {
+		block.Reset()
+		for _, field := range [][2]string{
+			{":method", "POST"}, {":scheme", "http"}, {":path", path}, {":authority", "h"},
+			{"content-type", "application/grpc"}, {"authorization", "Bearer " + workspaceKey},
+		} {
+			_ = encoder.WriteField(hpack.HeaderField{Name: field[0], Value: field[1]})
+		}
+		for range fields {
+			_ = encoder.WriteField(hpack.HeaderField{Name: "a", Value: ""})
+		}
+		last := !ended && i == streams-1
+		if framer.WriteHeaders(http2.HeadersFrameParam{StreamID: uint32(2*i + 1), BlockFragment: block.Bytes(), EndHeaders: !last}) != nil {
+			return
+		}
+		for last && framer.WriteContinuation(uint32(2*i+1), false, bytes.Repeat([]byte{0x80 | 62}, 8<<10)) == nil {
+		}
+	}
+}
+
+// TestIdleConnectionsAtAgent guards against idle connections that take all descriptors of an agent, so that an entry
+// that has just started cannot reach it.
+func TestIdleConnectionsAtAgent(t *testing.T) {
+	s := newStoppedSite(t, replicas)
+	s.agentFiles = fileLimit
+	s.startAll(t)
+	for i := range hosts {
+		s.agentProcs[1-i].signal(syscall.SIGSTOP) // leaves one agent to serve
+		crowd(t, s.agentAddrs[i], idleClients, "")
+		s.entryProcs[0].kill()
+		s.entryProcs[0].run(t)
+		s.awaitServing(t)
+		checkProcess(t, s.agentProcs[i], agentMemory, fileLimit)
+		s.agentProcs[1-i].signal(syscall.SIGCONT)
+	}
+}
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -9,9 +9,13 @@
 	"google.golang.org/grpc"
 
 	"github.com/lilackeel/lilackeel/feed"
+	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/link"
 )
 
+// relayShare is the share of the descriptors that the daemons of the zone may use.
+const relayShare = 1.0 / 8
+
 // relay relays the entry's configuration feed to the daemons of its availability zone. It is nil
 // if the entry is not a relay.
 type relay struct {
@@ -23,7 +27,7 @@
 
 // newRelay returns the relay, nil if the settings configure none. It must be called before the
 // client runs.
-func newRelay(cfg Config, client *feed.Client, logger *slog.Logger) (*relay, error) {
+func newRelay(cfg Config, client *feed.Client, resources *inbound.Resources, logger *slog.Logger) (*relay, error) {
 	if cfg.RelayListen == "" {
 		return nil, nil
 	}
@@ -35,7 +39,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &relay{feed: feed.NewRelay(client), listener: listener, options: options, logger: logger}, nil
+	return &relay{feed: feed.NewRelay(client), listener: resources.PeerListener(listener, "relay", relayShare, logger), options: append(options, resources.PeerOptions()...), logger: logger}, nil
 }
 
 // run serves the relay until ctx ends. If the relay fails, the entry continues to serve callers,
--- a/entry/wire_gen.go
+++ b/entry/wire_gen.go
@@ -60,7 +60,7 @@
 	permitClient := NewPermitClient(rateLimits, reportSubscriber, pool)
 	resources := newResources(cfg, budget)
 	routedServer := newRouted(cfg, table, loadTracker, detector, picker, admissionController, reachTracker, lockstepTracker, directClient, quarantineTracker, permitClient, suspicionTracker, tracker, budget, resources, logger)
-	entryRelay, err := newRelay(cfg, client, logger)
+	entryRelay, err := newRelay(cfg, client, resources, logger)
 	if err != nil {
 		return nil, err
 	}
--- a/rankhost/daemon.go
+++ b/rankhost/daemon.go
@@ -38,6 +38,9 @@
 	slowdownRenewal = 500 * time.Millisecond
 )
 
+// peerShare is the share of the descriptors that entries and control replicas may use.
+const peerShare = 1.0 / 2
+
 // Daemon is the host process of one rank.
 type Daemon struct {
 	settings  *Settings
@@ -76,13 +79,14 @@
 		ReportSlowdown: settings.ReportSlowdown,
 	})
 	resources := settings.Inbound.Resources()
-	server := grpc.NewServer(options...)
+	server := grpc.NewServer(append(options, resources.PeerOptions()...)...)
 	agentv1.RegisterAgentServer(server, &service{
 		host: host, endpoint: settings.Endpoint, shared: sharing.NewHost(host.now, ratelimit.NewArbiter()),
 		relay: &relay{call: hostClient{pool}.callGroup, backup: hostClient{backups}.callGroup, hedger: link.NewHedger(backups), logger: logger, inFlight: map[string]bool{}},
 	})
 	return &Daemon{
-		settings: settings, logger: logger, ready: telemetry.NewReady(), host: host, server: server, pool: pool, backups: backups, resources: resources, listener: listener,
+		settings: settings, logger: logger, ready: telemetry.NewReady(), host: host, server: server, pool: pool, backups: backups, resources: resources,
+		listener:  resources.PeerListener(listener, "peers", peerShare, logger),
 		announcer: &announcer{settings: settings, host: host, finder: finder, logger: logger, incarnation: rand.Uint64() | 1},
 	}, nil
 }
