hopbyhop: a list of absent headers takes no memory

Cause: each name that a caller lists in Connection became a key of a map, for every attempt, whether the request has such a header or not: 8,000 names of two bytes fit in a head of 16 KiB.

Change: only listed names that the message has are kept; absent ones have nothing that could be removed.

What a request of this kind takes was not measured by itself.

--- a/agent/hopbyhop/hopbyhop.go
+++ b/agent/hopbyhop/hopbyhop.go
@@ -24,16 +24,21 @@
 // Is reports whether a header is hop-by-hop in every message, whatever its Connection header lists.
 func Is(name string) bool { return hopByHopHeaders[textproto.CanonicalMIMEHeaderKey(name)] }
 
-// ConnectionOptions returns the canonical names of the headers that the Connection header of the
-// message lists as hop-by-hop; nil if there are none.
+// ConnectionOptions returns the canonical names of the headers of the message that its Connection header lists as
+// hop-by-hop; nil if there are none. Listed names that the message does not have are left out, so that the result
+// is not larger than the message.
 func ConnectionOptions(header http.Header) map[string]bool {
 	var options map[string]bool
 	for _, value := range header.Values("Connection") {
 		for name := range strings.SplitSeq(value, ",") {
+			name = textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))
+			if _, present := header[name]; !present {
+				continue
+			}
 			if options == nil {
 				options = make(map[string]bool)
 			}
-			options[textproto.CanonicalMIMEHeaderKey(strings.TrimSpace(name))] = true
+			options[name] = true
 		}
 	}
 	return options
