telemetry: long texts are cut in logs

A caller chose the length of log lines: a request id, a host and a path of 16 KiB each stood in the line of a refusal, which is written for every refused request.

Change: texts and errors over 2 KiB are cut and end in "...". Trailers of a request, which are not forwarded, are dropped once its body has been read.

TestLongTextsAreCut fails with texts that are not cut ("not true: output.Len() < 3*maxLoggedText"). What trailers took was not measured by itself.

--- a/entry/body.go
+++ b/entry/body.go
@@ -29,7 +29,7 @@
 	})
 	if err == nil {
 		_ = control.SetReadDeadline(time.Time{})
-		q.body = body
+		q.body, r.Trailer = body, nil // trailers are not forwarded
 		return nil
 	}
 	var tooLarge *http.MaxBytesError
--- a/routed/request.go
+++ b/routed/request.go
@@ -265,7 +265,7 @@
 	var timeout net.Error
 	switch {
 	case err == nil:
-		q.body = body
+		q.body, r.Trailer = body, nil // trailers are not forwarded
 		return nil
 	case errors.As(err, &tooLarge):
 		return errBodyTooLarge(limit)
--- a/telemetry/log.go
+++ b/telemetry/log.go
@@ -83,12 +83,32 @@
 	return false
 }
 
-// redact replaces the values of secrets, including those in headers and URLs.
+// maxLoggedText is the length up to which a text is logged, in bytes. Remote peers choose the length of ids, paths
+// and what errors quote.
+const maxLoggedText = 2 << 10
+
+// shorten cuts a text that is too long to be logged.
+func shorten(text string) string {
+	if len(text) <= maxLoggedText {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxLoggedText], "") + "..."
+}
+
+// redact replaces the values of secrets, including those in headers and URLs, and cuts long texts.
 func redact(_ []string, attr slog.Attr) slog.Attr {
 	if isSecret(attr.Key) {
 		return slog.String(attr.Key, redacted)
 	}
+	if attr.Value.Kind() == slog.KindString {
+		attr.Value = slog.StringValue(shorten(attr.Value.String()))
+		return attr
+	}
 	switch typed := attr.Value.Any().(type) {
+	case error:
+		if text := typed.Error(); len(text) > maxLoggedText {
+			attr.Value = slog.StringValue(shorten(text))
+		}
 	case http.Header:
 		attr.Value = slog.AnyValue(redactHeader(typed))
 	case *url.URL:
--- a/telemetry/telemetry_test.go
+++ b/telemetry/telemetry_test.go
@@ -44,6 +44,17 @@
 	}
 }
 
+// TestLongTextsAreCut guards against log lines whose length a caller chooses.
+func TestLongTextsAreCut(t *testing.T) {
+	is := is.New(t)
+	var output bytes.Buffer
+	long := strings.Repeat("x", 20_000)
+	NewLogger(&output, "info", "daemon", "host").Info("refused", slog.String("request_id", long), slog.Any("error", errors.New(long)), slog.String("path", "short"))
+	is.True(output.Len() < 3*maxLoggedText)
+	is.True(strings.Contains(output.String(), `"path":"short"`))
+	is.True(json.Valid(output.Bytes()))
+}
+
 func TestLibrariesLogJSONLines(t *testing.T) {
 	is := is.New(t)
 	var out bytes.Buffer
