inbound: a workspace is accountable for its connections in use

A workspace could hold three quarters of the memory with heads, and the rest with the connections on which they had come.

Change: while a request is in progress, its workspace is accountable for its connection as well (HTTP/1).

--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -251,6 +251,7 @@
 // end ends the use of a head.
 func (c *conn) end(head *Head) {
 	head.release()
+	c.base.Unassign()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving--
--- a/inbound/head.go
+++ b/inbound/head.go
@@ -42,13 +42,17 @@
 // length and does not show it to its handler.
 func (h *Head) MixedFraming() bool { return h != nil && h.mixed }
 
-// Assign makes the owner, such as a workspace, accountable for the memory of the head. A fault of kind
-// Overloaded means that the requests of this owner occupy too much.
+// Assign makes the owner, such as a workspace, accountable for the memory of the head and, in HTTP/1, of its
+// connection, until the response has ended. A fault of kind Overloaded means that the requests of this owner occupy
+// too much.
 func (h *Head) Assign(owner string) error {
 	if h == nil {
 		return nil
 	}
-	return h.charge.Assign(owner)
+	if err := h.charge.Assign(owner); err != nil || h.conn.http2 {
+		return err
+	}
+	return h.conn.base.Assign(owner)
 }
 
 // errBodyClosed is the error of a body whose connection was closed to make room for others.
--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -10,11 +11,15 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
 
+	"github.com/lilackeel/lilackeel/call"
 	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/memory"
 )
@@ -323,6 +328,11 @@
 		status, _ := c.status()
 		is.Equal(status, 0) // where the next head begins is not known
 	}
+	c := s.dial("POST / HTTP/1.0\r\nConnection: keep-alive\r\nTransfer-Encoding: chunked\r\n\r\n" + ordinary)
+	status, _ := c.status()
+	is.Equal(status, 200)
+	status, _ = c.status()
+	is.Equal(status, 0)
 }
 
 // TestEvictedConnectionRunsNothing guards against a request that runs although its connection was closed to make
@@ -356,4 +366,160 @@
 	is.NoErr(err)
 	c.evict(reasonConnections)
 	is.True(!c.closed) // its request is complete
+
+	c = open()
+	c.enterHead()
+	c.evict(reasonConnections)
+	is.Equal(c.leaveHead(&Head{conn: c}), errClosed)
+}
+
+// TestLateChecksCloseNothing guards against connections that are taken for idle, and heads for slow, because the
+// process did not run; and against a deadline for a slow head that cuts the request that it became.
+func TestLateChecksCloseNothing(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(Config{
+		Name: "test", MaxConnections: 9, Logger: slog.New(slog.DiscardHandler),
+		Limits: func() Limits { return Limits{HeadBytes: 1 << 10, HeadTimeout: time.Second, IdleTimeout: time.Second} },
+	}, NewResources(nil, 0), nil)
+	l := server.listener
+	client, accepted := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := l.admit(accepted)
+	const minute = int64(time.Minute)
+	l.checkTimes(minute, 0)
+	is.True(!c.closed)
+	_, err := c.follow([]byte("GET / HT"))
+	is.NoErr(err)
+	l.checkTimes(minute, minute)
+	is.True(c.isTooSlow())
+	_, err = c.follow([]byte("TP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\n"))
+	is.NoErr(err)
+	go func() { _, _ = client.Write([]byte("x")) }()
+	n, err := c.Read(make([]byte, 9))
+	is.NoErr(err)
+	is.Equal(n, 1)
+}
+
+// TestRefusalReachesItsClient guards against a refusal that is lost because its connection was closed with unread
+// bytes.
+func TestRefusalReachesItsClient(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(Config{Name: "test", MaxConnections: 9, Logger: slog.New(slog.DiscardHandler)}, NewResources(nil, 0), nil)
+	client, accepted := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := server.listener.admit(accepted)
+	written := make(chan error, 1)
+	go func() {
+		_, err := client.Write([]byte(strings.Repeat("x", 1000)))
+		written <- err
+	}()
+	go func() {
+		_ = c.refuse(reasonHeadSize, call.RefuseWithStatus(http.StatusRequestHeaderFieldsTooLarge, errHeadTooLarge))
+	}()
+	response, err := http.ReadResponse(bufio.NewReader(client), nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, 431)
+	_ = client.SetWriteDeadline(time.Now().Add(testTimeout))
+	is.NoErr(<-written)
+}
+
+// TestReadAheadIsNotRefused guards against a request in progress that is cut because the next head on its connection
+// exceeds a limit.
+func TestReadAheadIsNotRefused(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, Config{Limits: func() Limits { return Limits{HeadBytes: 3 << 10} }}, 100<<10)
+	c := s.dial(held + "\r\n" + held + manyLines(950))
+	s.awaitRuns(1)
+	s.release <- struct{}{}
+	status, _ := c.status()
+	is.Equal(status, 200)
+	_, err := io.WriteString(c, "\r\n")
+	is.NoErr(err)
+	status, _ = c.status()
+	is.True(status == 431 || status == 503)
+	is.Equal(s.runs.Load(), int32(1))
+}
+
+// TestTimeOfBodiesAndResponses guards against clients of a listener without limits of its own that hold a request
+// for ever.
+func TestTimeOfBodiesAndResponses(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, Config{BodyTimeout: 10 * time.Millisecond, WriteTimeout: 20 * time.Millisecond}, 0)
+	status, _ := s.dial("POST /held HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n").status()
+	is.Equal(status, 200) // the handler got an error, and answers
+	c := s.dial(held + "\r\n")
+	time.Sleep(100 * time.Millisecond)
+	s.release <- struct{}{}
+	status, _ = c.status()
+	is.Equal(status, 0)
+}
+
+// failingListener returns an error once.
+type failingListener struct {
+	net.Listener
+	err error
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if err := l.err; err != nil {
+		l.err = nil
+		return nil, err
+	}
+	return nil, net.ErrClosed
+}
+
+// TestOutOfFiles guards against a process that is out of descriptors while connections wait for their clients.
+func TestOutOfFiles(t *testing.T) {
+	is := is.New(t)
+	server := NewServer(Config{Name: "test", MaxConnections: 9, Logger: slog.New(slog.DiscardHandler)}, NewResources(nil, 0), nil)
+	client, accepted := net.Pipe()
+	defer func() { _ = client.Close() }()
+	c := server.listener.admit(accepted)
+	_, err := server.Listener(&failingListener{err: &net.OpError{Op: "accept", Err: syscall.EMFILE}}).Accept()
+	is.Equal(err, net.ErrClosed)
+	is.True(c.closed)
+}
+
+// TestHTTP2 guards against header lists of HTTP/2 that are not charged or stay charged, against a header block without
+// end, and against one without room whose request runs.
+func TestHTTP2(t *testing.T) {
+	is := is.New(t)
+	s := newTestServer(t, Config{HTTP2: true}, 4<<20)
+	c := s.dial(http2.ClientPreface)
+	framer := http2.NewFramer(c, c.reader)
+	is.NoErr(framer.WriteSettings())
+	block := func(fields int) []byte {
+		var b bytes.Buffer
+		encoder := hpack.NewEncoder(&b)
+		for _, field := range []string{":method GET", ":scheme http", ":path /held", ":authority h"} {
+			name, value, _ := strings.Cut(field, " ")
+			is.NoErr(encoder.WriteField(hpack.HeaderField{Name: name, Value: value}))
+		}
+		return append(b.Bytes(), bytes.Repeat([]byte("\x00\x01a\x00"), fields)...) // literals without an index
+	}
+	is.NoErr(framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 1, BlockFragment: block(2000), EndHeaders: true, EndStream: true}))
+	s.awaitRuns(1)
+	is.True(s.budget.Held() > 2*2000*lineCost)
+	is.NoErr(framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 3, BlockFragment: block(8000), EndHeaders: true, EndStream: true}))
+	decoder := hpack.NewDecoder(4096, nil)
+	status := ""
+	for status == "" {
+		frame, err := framer.ReadFrame()
+		is.NoErr(err)
+		if headers, ok := frame.(*http2.HeadersFrame); ok {
+			fields, err := decoder.DecodeFull(headers.HeaderBlockFragment())
+			is.NoErr(err)
+			status = fields[0].Value
+		}
+	}
+	is.Equal(status, "503")
+	is.Equal(s.runs.Load(), int32(1))
+	s.release <- struct{}{}
+	s.await("only the connection is charged", func() bool { return s.budget.Held() == 2*connectionCost })
+
+	is.NoErr(framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 5, BlockFragment: block(0)}))
+	for err := error(nil); err == nil; { // until the connection is closed
+		err = framer.WriteContinuation(5, false, block(4000)[40:])
+	}
+	s.await("nothing is charged", func() bool { return s.budget.Held() == 0 })
 }
--- a/inbound/listener.go
+++ b/inbound/listener.go
@@ -126,15 +126,17 @@
 		case <-ticker.C:
 		}
 		now := l.now()
-		if time.Duration(now-last) <= maxCheckDelay {
-			l.checkTimes(now)
-		}
+		l.checkTimes(now, last)
 		last = now
 		l.logRefusals()
 	}
 }
 
-func (l *listener) checkTimes(now int64) {
+// checkTimes enforces the limits on time. The last check was at last.
+func (l *listener) checkTimes(now, last int64) {
+	if time.Duration(now-last) > maxCheckDelay {
+		return
+	}
 	limits := l.config.Limits()
 	for _, c := range l.resources.connsOf(l) {
 		c.checkTime(now, limits)
--- a/memory/budget.go
+++ b/memory/budget.go
@@ -114,6 +114,20 @@
 	return nil
 }
 
+// Unassign ends the accountability of the owner.
+func (c *Charge) Unassign() {
+	b := c.budget
+	if b == nil || b.limit == 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	size := c.size
+	b.account(c, 0)
+	c.owner, c.assigned = "", false
+	b.account(c, size)
+}
+
 // errNoRoom returns the fault of a charge for which there is no room. The caller holds mu.
 func (b *Budget) errNoRoom() error {
 	return fault.New(fault.Overloaded, "not run: other requests leave no room for this one", "retry after the given time").
--- a/memory/budget_test.go
+++ b/memory/budget_test.go
@@ -70,6 +70,19 @@
 	}
 }
 
+// TestOrdinaryChargesHaveRoom guards against charges of one size that leave no room to smaller ones.
+func TestOrdinaryChargesHaveRoom(t *testing.T) {
+	is := is.New(t)
+	b := NewBudget(8 << 20)
+	for _, size := range []int64{256 << 10, SmallBytes, OrdinaryBytes} {
+		filled := 0
+		for i := 0; b.Begin(strconv.Itoa(i)).Resize(size) == nil; i++ {
+			filled++
+		}
+		is.True(filled > 0)
+	}
+}
+
 // TestBudgetFitsHost guards against a budget that a small host cannot hold.
 func TestBudgetFitsHost(t *testing.T) {
 	is := is.New(t)
--- a/routed/harness_test.go
+++ b/routed/harness_test.go
@@ -36,8 +36,10 @@
 )
 
 const (
-	testKey   = "k-crew"
-	signature = "Test-Signature"
+	// testMemory is the memory for the connections and heads of requests.
+	testMemory = 8 << 20
+	testKey    = "k-crew"
+	signature  = "Test-Signature"
 )
 
 // admitAll admits every request.
@@ -72,12 +74,14 @@
 	mu       sync.Mutex
 	received []*http.Request
 	bodies   []string
+	// memory is charged for connections and heads.
+	memory *memory.Budget
 }
 
 // newTestEntry returns an entry whose pool has one endpoint per handler.
 func newTestEntry(t *testing.T, handlers ...http.HandlerFunc) *testEntry {
 	t.Helper()
-	b := &testEntry{t: t, table: endpoint.NewTable()}
+	b := &testEntry{t: t, table: endpoint.NewTable(), memory: memory.NewBudget(testMemory)}
 	for i, handler := range handlers {
 		backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			body, _ := io.ReadAll(r.Body)
@@ -112,7 +116,7 @@
 	inboundServer := inbound.NewServer(inbound.Config{
 		Name: "callers", MaxConnections: 1000, ConnState: b.server.ConnState, Logger: slog.New(slog.DiscardHandler),
 		Limits: func() inbound.Limits { return b.server.Limits(inbound.Limits{}) },
-	}, inbound.NewResources(memory.NewBudget(64<<20), 0), b.server)
+	}, inbound.NewResources(b.memory, 0), b.server)
 	b.frontend.Config = inboundServer.Server
 	b.frontend.Listener = inboundServer.Listener(b.frontend.Listener)
 	b.frontend.Start()
--- a/routed/limits_test.go
+++ b/routed/limits_test.go
@@ -1,12 +1,14 @@
 package routed
 
 import (
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	fleetv1 "github.com/lilackeel/lilackeel/api/fleet/v1"
+	"github.com/lilackeel/lilackeel/fault"
 	"github.com/lilackeel/lilackeel/inbound"
 	"github.com/lilackeel/lilackeel/site"
 )
@@ -26,3 +28,25 @@
 	is.True(limits.HeadTimeout > 3*time.Second && limits.HeadTimeout < 5*time.Second)
 	is.Equal(limits.IdleTimeout, 15*time.Second)
 }
+
+// TestWorkspaceIsAccountableForHeads guards against heads and connections that no workspace is accountable for, so that
+// the requests in progress of one could take the memory of all.
+func TestWorkspaceIsAccountableForHeads(t *testing.T) {
+	is := is.New(t)
+	share := func(b *testEntry) error {
+		probe := b.memory.Begin("")
+		probe.Force(testMemory / 2 * 3 / 4) // all that one workspace may have
+		defer probe.Release()
+		return probe.Assign("crew")
+	}
+	var b *testEntry
+	b = newTestEntry(t, func(w http.ResponseWriter, r *http.Request) {
+		is.True(fault.Is(share(b), fault.Overloaded))
+		answerOK(w, r)
+	})
+	is.NoErr(share(b))
+	response, _, err := b.do(http.MethodGet, "/read/x", "", nil)
+	is.NoErr(err)
+	is.Equal(response.StatusCode, http.StatusOK)
+	is.NoErr(share(b))
+}
