inbound: tests of four guards that had none

Without each of these a test fails now, on a scratch copy where the guard alone was taken out: the refusal of a head on a connection that has been closed, the release of heads that net/http answers itself, the refusal of a header block of HTTP/2 without room, and the accountability for connections in use and its end.

--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/matryer/is"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
@@ -137,9 +138,12 @@
 			}
 		}
 	}
+	status, _ := s.dial("no request\r\n" + manyLines(lines) + "\r\n").status()
+	is.Equal(status, 400)
+	s.await("nothing is charged", func() bool { return s.budget.Held() == 0 })
 	c := s.dial(held + manyLines(lines) + "\r\n")
 	s.release <- struct{}{}
-	status, _ := c.status()
+	status, _ = c.status()
 	is.Equal(status, 200)
 	s.await("only the connection is charged", func() bool { return s.budget.Held() == 2*connectionCost })
 }
@@ -198,16 +202,26 @@
 		s.awaitRuns(runs)
 		err = (<-s.heads).Assign("crew")
 	}
-	s.dial(ordinary)
+	s.dial(held + "\r\n")
 	s.awaitRuns(runs + 1)
 	is.NoErr((<-s.heads).Assign("other"))
+	share := func(owner string, part int64) error { // assigns a part of what one owner may have
+		charge := s.budget.Begin("")
+		defer charge.Release()
+		charge.Force(part)
+		return charge.Assign(owner)
+	}
+	const whole = 4 << 20 / 2 * 3 / 4
+	is.True(share("other", whole-connectionCost) != nil) // it has a head and a connection
 	for range serving {
 		s.release <- struct{}{}
 	}
+	s.release <- struct{}{}
 	for _, c := range serving {
 		status, _ := c.status()
 		is.Equal(status, 200)
 	}
+	s.await("idle connections have no owner", func() bool { return share("crew", whole) == nil })
 }
 
 // TestIncompleteRequestsMakeRoom guards against incomplete heads and bodies, and idle connections, that leave an ordinary
@@ -347,11 +361,13 @@
 	}
 	c := open()
 	c.evict(reasonConnections)
-	_, err := c.follow([]byte(ordinary))
-	is.Equal(err, errClosed)
+	for _, text := range []string{ordinary, "GET / HT"} {
+		_, err := c.follow([]byte(text))
+		is.Equal(err, errClosed)
+	}
 
 	c = open()
-	_, err = c.follow([]byte(held + "Content-Length: 5\r\n\r\n"))
+	_, err := c.follow([]byte(held + "Content-Length: 5\r\n\r\n"))
 	is.NoErr(err)
 	head, err := c.begin(nil)
 	is.NoErr(err)
@@ -518,8 +534,11 @@
 	s.await("only the connection is charged", func() bool { return s.budget.Held() == 2*connectionCost })
 
 	is.NoErr(framer.WriteHeaders(http2.HeadersFrameParam{StreamID: 5, BlockFragment: block(0)}))
+	refusals := metrics.GetOrCreateCounter(`lilackeel_inbound_refusals_total{listener="test",reason="memory"}`)
+	before := refusals.Get()
 	for err := error(nil); err == nil; { // until the connection is closed
 		err = framer.WriteContinuation(5, false, block(4000)[40:])
 	}
 	s.await("nothing is charged", func() bool { return s.budget.Held() == 0 })
+	is.Equal(refusals.Get(), before+1)
 }
