--- a/inbound/inbound_test.go
+++ b/inbound/inbound_test.go
@@ -460,10 +460,12 @@
 // for ever.
 func TestTimeOfBodiesAndResponses(t *testing.T) {
 	is := is.New(t)
-	s := newTestServer(t, Config{BodyTimeout: 10 * time.Millisecond, WriteTimeout: 20 * time.Millisecond}, 0)
+	s := newTestServer(t, Config{BodyTimeout: 10 * time.Millisecond}, 0)
 	status, _ := s.dial("POST /held HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n").status()
 	is.Equal(status, 200) // the handler got an error, and answers
+	s = newTestServer(t, Config{WriteTimeout: 10 * time.Millisecond}, 0)
 	c := s.dial(held + "\r\n")
+	s.awaitRuns(1)
 	time.Sleep(100 * time.Millisecond)
 	s.release <- struct{}{}
 	status, _ = c.status()
