--- a/inbound/conn.go
+++ b/inbound/conn.go
@@ -152,8 +152,8 @@
 	return c.leaveHead(head)
 }
 
-// grow charges for a head. Connections that are not being served make room for one of ordinary size. One that is read ahead while another request is served is never refused; net/http
-// reads no more of it than one buffer.
+// grow charges for a head. Connections that are not being served make room for one of ordinary size. One that is
+// read ahead while another request is served is never refused; net/http reads no more of it than one buffer.
 func (c *conn) grow(charge *memory.Charge, size int64, waits bool) error {
 	if !waits {
 		charge.Force(size)
